--- /dev/null
+++ b/packages/core/src/interfaces/admission.ts
@@ -0,0 +1,58 @@
+import type { Refusal } from '../errors/refusal.js'
+
+/** Decides at the entry of a root request, from the path levels learnt from answers. */
+export type EntryAdmission = {
+  /** Undefined when admitted. */
+  judge: (entryOpKey: string, priority: number) => Refusal | undefined
+  /** Takes the path level that came with an answer to a root request of this operation. */
+  learn: (entryOpKey: string, pathLevel: number) => void
+  /** Current estimate of the level below which requests of this operation are refused. */
+  level: (entryOpKey: string) => number
+}
+
+/** How a call that held a permit ended. */
+export type CallEnd =
+  | { kind: 'answered', latencyMs: number }
+  /** The target itself answered that it sheds load. */
+  | { kind: 'targetShed', latencyMs: number }
+  | { kind: 'failed', latencyMs: number }
+  /** The caller went away or the deadline passed while the target worked. */
+  | { kind: 'cancelled', latencyMs: number }
+
+/** Right to run one call at the target. */
+export type Permit = { release: (end: CallEnd) => void }
+
+/** A call that waits for a permit. */
+export type GateRequest = {
+  priority: number
+  /** Operation key; latency baselines are kept per operation. */
+  opKey: string
+  /** Time left until the deadline, in ms. */
+  remainingMs: number
+  signal: AbortSignal
+}
+
+export type GateResult = { kind: 'permit', permit: Permit } | { kind: 'refused', refusal: Refusal }
+
+/** Load of a target as reported to other nodes with each answer. */
+export type LoadReport = {
+  /** Admission level of this node, 0 to 255. */
+  level: number
+  inFlight: number
+  queued: number
+  /** Current concurrency limit. */
+  limit: number
+}
+
+/** Queue and concurrency limit in front of the target. */
+export type TargetGate = {
+  enter: (req: GateRequest) => Promise<GateResult>
+  load: () => LoadReport
+  /** Sets the announced capacity and restarts the ramp when the target has (re)started. */
+  targetStarted: (capacity: number) => void
+  /** Recomputes the admission level; the owner calls it every `LEVEL_INTERVAL_MS`. */
+  tick: () => void
+}
+
+/** Period of `TargetGate.tick`. */
+export const LEVEL_INTERVAL_MS = 100
--- /dev/null
+++ b/packages/core/src/interfaces/replication.ts
@@ -0,0 +1,44 @@
+import type { ResultAsync } from 'neverthrow'
+
+/** Deterministic state behind a replicated log; time and randomness enter only through commands. */
+export type StateMachine<Command, Reply, State> = {
+  apply: (index: number, cmd: Command) => Reply
+  /** JSON-compatible copy of the state. */
+  snapshot: () => State
+  restore: (state: State) => void
+}
+
+export type ProposeError =
+  /** This replica isn't the leader; `leader` is the API address of the one it knows. Nothing was appended. */
+  | { kind: 'notLeader', leader?: string, message: string }
+  /** The command was appended but the quorum did not answer in time; it may still be applied. */
+  | { kind: 'outcomeUnknown', message: string }
+  /** The command was refused before it was appended (storage failed, too large, stopping). */
+  | { kind: 'refused', message: string }
+
+export type NotCurrent = { kind: 'notCurrent', leader?: string, message: string }
+
+export type ReplicaStatus = {
+  group: string
+  vmId: string
+  storageId: string
+  role: 'leader' | 'follower' | 'candidate' | 'learner' | 'outsider' | 'failed'
+  term: number
+  leader?: string
+  commitIndex: number
+  lastIndex: number
+  members: Array<{ vmId: string, storageId: string, voter: boolean, matchIndex?: number }>
+  /** Remaining time of the leader lease in ms; 0 on other replicas. */
+  leaseMs: number
+}
+
+/** A replicated log with the state machine behind it. */
+export type ReplicatedLog<Command, Reply> = {
+  propose: (cmd: Command) => ResultAsync<Reply, ProposeError>
+  /** Ok when this replica has applied everything accepted up to now: a valid leader lease, or a read index from the leader. */
+  confirmCurrent: () => ResultAsync<void, NotCurrent>
+  status: () => ReplicaStatus
+  /** Calls back after each applied command. */
+  onApplied: (listener: (index: number) => void) => () => void
+  close: () => Promise<void>
+}
