--- /dev/null
+++ b/packages/core/src/settings/schema.ts
@@ -0,0 +1,85 @@
+import { z } from 'zod'
+
+const port = z.number().int().min(1).max(65535)
+const address = z.union([z.ipv4(), z.ipv6()])
+const name = z.string().regex(/^[a-zA-Z0-9][a-zA-Z0-9._-]{0,63}$/, 'use 1 to 64 letters, digits, ".", "_" or "-"')
+const key = z.string().min(16, 'use at least 16 characters')
+
+/** The VM that this process runs on. */
+export const vmSettingsSchema = z.strictObject({ id: name, address, region: name, failureDomain: name })
+export type VmSettings = z.infer<typeof vmSettingsSchema>
+
+/** Settings of a node, the process beside a target. */
+export const nodeSettingsSchema = z.strictObject({
+  /** TCP port for callers and for the target's own calls. */
+  callerPort: port,
+  /** TCP port for other nodes. */
+  peerPort: port,
+  /** UDP port for membership. */
+  gossipPort: port,
+  /** Longest wait for calls in flight during a planned stop, in s. */
+  drainTimeoutS: z.number().min(0).max(3600).default(120),
+  /** Retries that one member request may cause in its whole call chain. */
+  retryAllowance: z.number().int().min(0).max(10).default(2),
+  /** Requests of which a decision record is kept for `orioleslip explain`. */
+  decisionRecords: z.number().int().min(0).max(100_000).default(2000),
+  /** False turns admission, limits, retry bounds and routing preferences off; for comparison runs only. */
+  overloadControl: z.boolean().default(true)
+})
+export type NodeSettings = z.infer<typeof nodeSettingsSchema>
+
+/** Settings of a control process. */
+export const controlSettingsSchema = z.strictObject({
+  /** TCP port of the control API. */
+  apiPort: port,
+  gossipPort: port,
+  /** Folder of the durable state; it must be on a disk that survives restarts. */
+  dataDir: z.string().min(1),
+  /** Time for which idempotency keys are remembered, in s. */
+  keyRetentionS: z.number().int().min(60).max(7 * 86_400).default(86_400),
+  /** Most idempotency keys kept; new keys are refused beyond it. */
+  keyLimit: z.number().int().min(1).max(10_000_000).default(1_000_000)
+})
+export type ControlSettings = z.infer<typeof controlSettingsSchema>
+
+/** Where a control VM can be reached. */
+export const controlPeerSchema = z.strictObject({ vmId: name, address, apiPort: port, gossipPort: port, failureDomain: name })
+export type ControlPeer = z.infer<typeof controlPeerSchema>
+
+/** Key of an operator, by which edits are authenticated and audited. */
+export const operatorKeySchema = z.strictObject({ name, key })
+export type OperatorKey = z.infer<typeof operatorKeySchema>
+
+/** Settings file of `orioleslipd`. */
+export const settingsSchema = z.strictObject({
+  role: z.enum(['node', 'control']),
+  vm: vmSettingsSchema,
+  node: nodeSettingsSchema.optional(),
+  control: controlSettingsSchema.optional(),
+  /** The control VMs, this one included when the role is control; 1, 3, 5 or 7 of them. */
+  controls: z.array(controlPeerSchema).min(1).max(8),
+  auth: z.strictObject({
+    /** Shared by all processes of the fleet. */
+    fleetKey: key,
+    /** Read by control processes only. */
+    operators: z.array(operatorKeySchema).default([])
+  }),
+  log: z.strictObject({ level: z.enum(['trace', 'debug', 'info', 'warn', 'error']).default('info') }).prefault({}),
+  /** StatsD receiver; metrics are off without it. */
+  metrics: z.strictObject({ host: address, port, prefix: z.string().default('orioleslip.') }).optional()
+}).superRefine((settings, ctx) => {
+  const needed = settings.role
+  if (settings[needed] === undefined) ctx.addIssue({ code: 'custom', path: [needed], message: `role is "${needed}"; add a [${needed}] table` })
+  const other = needed === 'node' ? 'control' : 'node'
+  if (settings[other] !== undefined) ctx.addIssue({ code: 'custom', path: [other], message: `role is "${needed}"; remove the [${other}] table` })
+  if (settings.role === 'control' && !settings.controls.some((peer) => peer.vmId === settings.vm.id)) {
+    ctx.addIssue({ code: 'custom', path: ['controls'], message: `add this VM ("${settings.vm.id}") to the list` })
+  }
+  if (new Set(settings.controls.map((peer) => peer.vmId)).size !== settings.controls.length) {
+    ctx.addIssue({ code: 'custom', path: ['controls'], message: 'a VM is listed twice; remove one entry' })
+  }
+  if (settings.node !== undefined && settings.node.callerPort === settings.node.peerPort) {
+    ctx.addIssue({ code: 'custom', path: ['node', 'peerPort'], message: 'equals callerPort; choose another port' })
+  }
+})
+export type Settings = z.infer<typeof settingsSchema>
