Add the peer link between nodes

Cause: calls between nodes need multiplexing, backpressure, cancellation and a clear end of each answer. Measurement: 10 tests pass; a 1 MB body passes in both directions, a sender stops after one window.

--- /dev/null
+++ b/packages/node/src/links/frames.test.ts
@@ -0,0 +1,37 @@
+import test from 'ava'
+import fc from 'fast-check'
+import { createFrameDecoder, encodeFrame, MAX_FRAME_BYTES, type Frame } from './frames.js'
+
+const bytesArb = fc.uint8Array({ minLength: 1, maxLength: 2000 }).map((bytes) => Buffer.from(bytes))
+const frameArb: fc.Arbitrary<Frame> = fc.record({
+  stream: fc.nat(),
+  msg: fc.oneof(
+    bytesArb.map((chunk) => ({ type: 'data' as const, chunk })),
+    bytesArb.map((chunk) => ({ type: 'responseData' as const, chunk })),
+    fc.constant({ type: 'end' as const }),
+    fc.nat().map((bytes) => ({ type: 'credit' as const, bytes })),
+    fc.record({ type: fc.constant('responseHead' as const), head: fc.record({ status: fc.nat(599), headers: fc.array(fc.string()) }) })
+  )
+})
+
+// Guards against frames that are lost or mixed up when TCP splits or joins them.
+test('frames survive any split of the byte stream', (t) => {
+  fc.assert(fc.property(fc.array(frameArb, { maxLength: 20 }), fc.integer({ min: 1, max: 700 }), (frames, step) => {
+    const bytes = Buffer.concat(frames.flatMap((frame) => encodeFrame(frame.stream, frame.msg)))
+    const seen: Frame[] = []
+    const decode = createFrameDecoder((frame) => seen.push(frame))
+    for (let at = 0; at < bytes.length; at += step) decode(bytes.subarray(at, at + step))
+    t.deepEqual(JSON.parse(JSON.stringify(seen)), JSON.parse(JSON.stringify(frames)))
+  }), { seed: 7, numRuns: 50 })
+})
+
+// Guards against a corrupt length that would make the node buffer without bound.
+test('oversized frames and unknown types are rejected', (t) => {
+  const decode = createFrameDecoder(() => {})
+  const header = Buffer.alloc(9)
+  header.writeUInt32BE(MAX_FRAME_BYTES + 1, 0)
+  t.throws(() => decode(header), { message: /exceeds the limit/ })
+  const unknown = Buffer.alloc(9)
+  unknown.writeUInt8(99, 4)
+  t.throws(() => createFrameDecoder(() => {})(unknown), { message: /unknown frame type 99/ })
+})
--- /dev/null
+++ b/packages/node/src/links/frames.ts
@@ -0,0 +1,109 @@
+import { Packr } from 'msgpackr'
+import type { StreamMessage } from './messages.js'
+
+/** Largest payload of a frame; longer ones close the connection. */
+export const MAX_FRAME_BYTES = 4 * 1024 * 1024
+
+const HEADER_BYTES = 9
+const packr = new Packr({ useRecords: false, encodeUndefinedAsNil: true })
+
+/** Messages of a connection that belong to no call. Stream 0 carries them; `id` pairs asks with answers. */
+export type ConnectionMessage =
+  | { type: 'hello', vmId: string, nonce: Uint8Array }
+  | { type: 'welcome', vmId: string, nonce: Uint8Array, proof: Uint8Array }
+  | { type: 'proof', proof: Uint8Array }
+  | { type: 'ask', id: number, kind: string, body: unknown }
+  | { type: 'answer', id: number, body: unknown }
+  | { type: 'ping' }
+  | { type: 'pong' }
+
+export type Frame = { stream: number, msg: StreamMessage | ConnectionMessage }
+
+const CODES = {
+  hello: 1,
+  welcome: 2,
+  proof: 3,
+  ask: 4,
+  answer: 5,
+  ping: 6,
+  pong: 7,
+  head: 16,
+  accept: 17,
+  data: 18,
+  end: 19,
+  credit: 20,
+  cancel: 21,
+  responseHead: 22,
+  responseData: 23,
+  responseEnd: 24,
+  refuse: 25
+} as const
+
+type MessageType = keyof typeof CODES
+const TYPES = new Map<number, MessageType>(Object.entries(CODES).map(([type, code]) => [code, type as MessageType]))
+
+/** Encodes a frame as one or two buffers; body bytes are not copied. */
+export function encodeFrame (stream: number, msg: StreamMessage | ConnectionMessage): Uint8Array[] {
+  const header = Buffer.allocUnsafe(HEADER_BYTES)
+  header.writeUInt8(CODES[msg.type], 4)
+  header.writeUInt32BE(stream, 5)
+  const payload = payloadOf(msg)
+  header.writeUInt32BE(payload === undefined ? 0 : payload.length, 0)
+  return payload === undefined ? [header] : [header, payload]
+}
+
+function payloadOf (msg: StreamMessage | ConnectionMessage): Uint8Array | undefined {
+  switch (msg.type) {
+    case 'data': case 'responseData': return msg.chunk
+    case 'accept': case 'end': case 'cancel': case 'ping': case 'pong': return undefined
+    default: return packr.pack(msg)
+  }
+}
+
+function decodePayload (type: MessageType, payload: Buffer): StreamMessage | ConnectionMessage {
+  switch (type) {
+    case 'data': return { type, chunk: payload }
+    case 'responseData': return { type, chunk: payload }
+    case 'accept': case 'end': case 'cancel': case 'ping': case 'pong': return { type }
+    default: return packr.unpack(payload) as StreamMessage | ConnectionMessage
+  }
+}
+
+/** Splits a byte stream into frames; throws on an unknown type or an oversized frame. */
+export function createFrameDecoder (onFrame: (frame: Frame) => void): (chunk: Buffer) => void {
+  let pending: Buffer[] = []
+  let pendingBytes = 0
+  let neededBytes = HEADER_BYTES
+
+  const parse = (buf: Buffer): number => {
+    let at = 0
+    for (;;) {
+      if (buf.length - at < HEADER_BYTES) {
+        neededBytes = HEADER_BYTES
+        return at
+      }
+      const length = buf.readUInt32BE(at)
+      if (length > MAX_FRAME_BYTES) throw new Error(`frame of ${length} bytes exceeds the limit of ${MAX_FRAME_BYTES}`)
+      if (buf.length - at < HEADER_BYTES + length) {
+        neededBytes = HEADER_BYTES + length
+        return at
+      }
+      const code = buf.readUInt8(at + 4)
+      const type = TYPES.get(code)
+      if (type === undefined) throw new Error(`unknown frame type ${code}`)
+      const payload = buf.subarray(at + HEADER_BYTES, at + HEADER_BYTES + length)
+      const stream = buf.readUInt32BE(at + 5)
+      at += HEADER_BYTES + length
+      onFrame({ stream, msg: decodePayload(type, payload) })
+    }
+  }
+  return (chunk) => {
+    pending.push(chunk)
+    pendingBytes += chunk.length
+    if (pendingBytes < neededBytes) return
+    const buf = pending.length === 1 ? chunk : Buffer.concat(pending)
+    const rest = buf.subarray(parse(buf))
+    pending = rest.length === 0 ? [] : [rest]
+    pendingBytes = rest.length
+  }
+}
--- /dev/null
+++ b/packages/node/src/links/links.test.ts
@@ -0,0 +1,162 @@
+import test, { type ExecutionContext } from 'ava'
+import { connect, createServer, type AddressInfo } from 'node:net'
+import { once } from 'node:events'
+import { notRun } from '@orioleslip/core'
+import { readAll } from './byte-queue.js'
+import type { IncomingCall } from './incoming-call.js'
+import { listenForPeers } from './listener.js'
+import { STREAM_WINDOW_BYTES, type CallHead, type CallReport } from './messages.js'
+import { createPeerPool } from './pool.js'
+
+const KEY = 'a-fleet-key-for-tests'
+const REPORT: CallReport = { pathLevel: 3, regionBytes: 0 }
+
+const head = (extra: Partial<CallHead> = {}): CallHead => ({
+  root: {
+    requestId: 'r', traceId: 't', customer: 'c', entryOpKey: 'GET s /', priority: 1, ledger: { host: '127.0.0.1', port: 1 }, region: 'r1'
+  },
+  service: 's',
+  method: 'GET',
+  path: '/',
+  headers: [],
+  opKey: 'GET s /',
+  repeatable: true,
+  remainingMs: 1000,
+  traceFlags: '00',
+  offer: false,
+  ...extra
+})
+
+async function unusedPort (): Promise<number> {
+  const server = createServer().listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  const { port } = server.address() as AddressInfo
+  server.close()
+  await once(server, 'close')
+  return port
+}
+
+async function connectedPair (t: ExecutionContext, onCall: (call: IncomingCall) => void, dialerKey = KEY) {
+  const address = { host: '127.0.0.1', port: await unusedPort() }
+  const rejected: string[] = []
+  const listener = await listenForPeers({
+    address,
+    identity: { fleetKey: KEY, vmId: 'b' },
+    handlers: { onCall, onAsk: (kind, body) => ({ kind, body }) },
+    onRejected: (_remote, message) => rejected.push(message)
+  })
+  const pool = createPeerPool({ fleetKey: dialerKey, vmId: 'a' }, () => undefined)
+  t.teardown(async () => {
+    pool.close()
+    await listener.close()
+  })
+  return { address, listener, pool, rejected, dial: async () => await pool.get(address) }
+}
+
+async function openConnection (pair: Awaited<ReturnType<typeof connectedPair>>) {
+  const found = await pair.dial()
+  return 'openCall' in found ? found : found._unsafeUnwrap()
+}
+
+test('a call and its answer pass whole in both directions', async (t) => {
+  const pair = await connectedPair(t, (call) => {
+    readAll(call.body, 1e9).then((body) => {
+      call.respond({ status: 201, headers: ['x', 'y'] })
+      call.write(body!)
+      call.end(REPORT)
+    }, () => {})
+  })
+  const connection = await openConnection(pair)
+  const body = Buffer.alloc(1_000_000, 'ab')
+  const call = connection.openCall(head())
+  for (let at = 0; at < body.length; at += 50_000) await call.write(body.subarray(at, at + 50_000))
+  call.end()
+  const reply = await call.reply
+  if (reply.kind !== 'head') return t.fail(reply.kind)
+  t.is(reply.head.status, 201)
+  t.true(body.equals((await readAll(reply.body, 1e9))!))
+  t.deepEqual(await call.finish, { kind: 'complete', report: REPORT })
+})
+
+// Guards against unbounded memory when the target reads an upload slowly or not at all.
+test('a sender stops when the receiver does not read', async (t) => {
+  let incoming: IncomingCall | undefined
+  const pair = await connectedPair(t, (call) => { incoming = call })
+  const connection = await openConnection(pair)
+  const call = connection.openCall(head())
+  const chunk = Buffer.alloc(64 * 1024)
+  let blocked: Promise<void> | undefined
+  for (let i = 0; i < 100 && blocked === undefined; i++) blocked = call.write(chunk)
+  t.truthy(blocked)
+  t.true(call.bytes().sent <= STREAM_WINDOW_BYTES + chunk.length)
+  while (incoming === undefined || incoming.body.size() < STREAM_WINDOW_BYTES) await new Promise((resolve) => setTimeout(resolve, 5))
+  for (let i = 0; i < 4; i++) await incoming.body.read()
+  await blocked
+  t.pass()
+})
+
+// Guards against a cut answer that looks complete.
+test('an answer that breaks off fails the reader', async (t) => {
+  const pair = await connectedPair(t, (call) => {
+    call.respond({ status: 200, headers: [] })
+    call.write(Buffer.from('part'))
+    call.refuse(notRun('bad-answer', 'cut'), REPORT)
+  })
+  const connection = await openConnection(pair)
+  const call = connection.openCall(head())
+  const reply = await call.reply
+  if (reply.kind !== 'head') return t.fail(reply.kind)
+  await t.throwsAsync(async () => { while (await reply.body.read() !== undefined); }, { message: /cut short/ })
+  t.is((await call.finish).kind, 'aborted')
+})
+
+// Guards against work that goes on after its caller has gone.
+test('a cancelled call aborts its signal on the other side', async (t) => {
+  let incoming: IncomingCall | undefined
+  const pair = await connectedPair(t, (call) => { incoming = call })
+  const connection = await openConnection(pair)
+  const call = connection.openCall(head())
+  while (incoming === undefined) await new Promise((resolve) => setTimeout(resolve, 5))
+  call.cancel()
+  t.is((await call.reply).kind, 'cancelled')
+  if (!incoming.signal.aborted) await once(incoming.signal, 'abort')
+  await t.throwsAsync(() => incoming!.body.read())
+  t.is(pair.listener.openCalls(), 0)
+})
+
+// Guards against calls that hang when the other node dies.
+test('open calls are lost when the connection closes', async (t) => {
+  const pair = await connectedPair(t, () => {})
+  const connection = await openConnection(pair)
+  const call = connection.openCall(head())
+  await pair.listener.close()
+  t.is((await call.reply).kind, 'lost')
+  t.is((await connection.openCall(head()).reply).kind, 'lost')
+})
+
+test('questions are answered, and unanswered after a close', async (t) => {
+  const pair = await connectedPair(t, () => {})
+  t.deepEqual(await pair.pool.ask(pair.address, 'retry', { id: 1 }, 1000), { kind: 'retry', body: { id: 1 } })
+  pair.pool.close()
+  await pair.listener.close()
+  t.is(await pair.pool.ask(pair.address, 'retry', {}, 1000), undefined)
+})
+
+// Guards against outsiders that reach the peer port.
+test('a peer without the fleet key is rejected with the remedy', async (t) => {
+  const pair = await connectedPair(t, () => t.fail(), 'another-key-altogether')
+  const found = await pair.dial()
+  t.true('isErr' in found && found.isErr())
+  if ('isErr' in found && found.isErr()) t.regex(found.error.message, /auth\.fleetKey/)
+})
+
+// Guards against a crash on bytes that are no frames.
+test('garbage closes the connection and the listener goes on', async (t) => {
+  const pair = await connectedPair(t, (call) => call.refuse(notRun('overloaded', 'x'), REPORT))
+  const socket = connect(pair.address.port, '127.0.0.1')
+  socket.write(Buffer.alloc(64, 0xff))
+  await once(socket, 'close')
+  t.regex(pair.rejected[0]!, /exceeds the limit/)
+  const connection = await openConnection(pair)
+  t.is((await connection.openCall(head()).reply).kind, 'refused')
+})
--- /dev/null
+++ b/packages/node/src/links/listener.ts
@@ -0,0 +1,85 @@
+import { createServer, type Server, type Socket } from 'node:net'
+import type { PeerAddress } from '@orioleslip/core'
+import { createFrameWriter, createPeerConnection, readFrames, type ConnectionHandlers, type PeerConnection } from './connection.js'
+import { DIAL_TIMEOUT_MS, type LinkIdentity } from './dial.js'
+import type { Frame } from './frames.js'
+import { createHandshake } from './handshake.js'
+
+export type PeerListener = {
+  /** Calls in progress on all accepted connections. */
+  openCalls: () => number
+  /** Stops accepting and closes the accepted connections. */
+  close: () => Promise<void>
+}
+
+/** Why a connection attempt was turned down; for the log. */
+export type OnRejected = (remote: string, message: string) => void
+
+type ListenOptions = { address: PeerAddress, identity: LinkIdentity, handlers: Omit<ConnectionHandlers, 'onClose'>, onRejected: OnRejected }
+
+/** Accepts peer connections; rejects when the port can't be opened. */
+export async function listenForPeers ({ address, identity, handlers, onRejected }: ListenOptions): Promise<PeerListener> {
+  const connections = new Set<PeerConnection>()
+  const sockets = new Set<Socket>()
+
+  const accept = (socket: Socket) => {
+    const handshake = createHandshake(identity.fleetKey, identity.vmId)
+    const write = createFrameWriter(socket)
+    let hello: { vmId: string, nonce: Uint8Array } | undefined
+    let connection: PeerConnection | undefined
+    const fail = (message: string) => {
+      clearTimeout(timer)
+      socket.destroy()
+      if (connection === undefined) onRejected(`${socket.remoteAddress ?? 'unknown'}:${socket.remotePort ?? 0}`, message)
+      else connection.close(message)
+    }
+    const timer = setTimeout(() => fail('handshake timed out'), DIAL_TIMEOUT_MS)
+    const finishHandshake = (peerVm: string) => {
+      clearTimeout(timer)
+      const opened = createPeerConnection(socket, peerVm, { ...handlers, onClose: () => connections.delete(opened) })
+      connection = opened
+      connections.add(opened)
+    }
+    const onFrame = (frame: Frame) => {
+      if (connection !== undefined) return connection.receive(frame)
+      const { msg } = frame
+      if (msg.type === 'hello' && hello === undefined) {
+        hello = msg
+        return write(0, handshake.welcome(msg))
+      }
+      if (msg.type !== 'proof' || hello === undefined) return fail(`unexpected message "${msg.type}" before the handshake`)
+      const checked = handshake.checkProof(hello, msg.proof)
+      if (checked.isErr()) return fail(checked.error.message)
+      finishHandshake(hello.vmId)
+    }
+    sockets.add(socket)
+    socket.setNoDelay(true)
+    socket.on('error', (cause) => fail(cause.message))
+    socket.on('close', () => {
+      clearTimeout(timer)
+      sockets.delete(socket)
+    })
+    readFrames(socket, onFrame, fail)
+  }
+
+  const server = createServer(accept)
+  await listen(server, address)
+  return {
+    openCalls: () => [...connections].reduce((sum, connection) => sum + connection.openCalls(), 0),
+    close: () => new Promise((resolve) => {
+      server.close(() => resolve())
+      for (const connection of [...connections]) connection.close('the node is stopping')
+      for (const socket of sockets) socket.destroy()
+    })
+  }
+}
+
+function listen (server: Server, { host, port }: PeerAddress): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject)
+    server.listen({ host, port }, () => {
+      server.removeListener('error', reject)
+      resolve()
+    })
+  })
+}
