Let gate requests tell that their body has started

Cause: an upload whose body transfer has begun must never be dropped, and the gate could not tell such calls apart. Change: optional `bodyStarted` in GateRequest. Conclusion: callers without bodies need no change.

--- a/packages/core/src/interfaces/admission.ts
+++ b/packages/core/src/interfaces/admission.ts
@@ -30,6 +30,8 @@
   /** Time left until the deadline, in ms. */
   remainingMs: number
   signal: AbortSignal
+  /** True once body bytes of an upload are on their way; such a call is never dropped for another one. */
+  bodyStarted?: () => boolean
 }
 
 export type GateResult = { kind: 'permit', permit: Permit } | { kind: 'refused', refusal: Refusal }
