Add gate, entry admission, limits, retries and routing of a node

Cause: the call path needs every decision module behind the shared interfaces. Change: target gate with 256 priority lists and admission level, entry admission with probes, ramped concurrency limit, retry ledger and question, router with tiers and two choices, inter-region volume per node. Conclusion: simple and correct behaviour for the integration; constants and limit learning still to be tried out.

--- /dev/null
+++ b/packages/node/src/admission/target-gate.test.ts
@@ -0,0 +1,131 @@
+import test from 'ava'
+import fc from 'fast-check'
+import { createFakeClock } from '@orioleslip/core'
+import type { GateResult } from '@orioleslip/core'
+import { createTargetGate } from './target-gate.js'
+
+type Call = { priority?: number, remainingMs?: number, opKey?: string, bodyStarted?: boolean }
+
+async function createGate (capacity = 1) {
+  const clock = createFakeClock()
+  const gate = createTargetGate({ clock })
+  gate.targetStarted(capacity)
+  await clock.advance(11_000)
+  const enter = (call: Call = {}) => {
+    const aborter = new AbortController()
+    const res: { result?: GateResult, abort: () => void, done: Promise<GateResult> } = {
+      abort: () => { aborter.abort() },
+      done: gate.enter({
+        priority: call.priority ?? 0,
+        opKey: call.opKey ?? 'GET s /',
+        remainingMs: call.remainingMs ?? 60_000,
+        signal: aborter.signal,
+        bodyStarted: () => call.bodyStarted ?? false
+      })
+    }
+    res.done.then((result) => { res.result = result }, () => {})
+    return res
+  }
+  return { clock, gate, enter }
+}
+
+function release (result: GateResult | undefined, latencyMs = 10): void {
+  if (result?.kind === 'permit') result.permit.release({ kind: 'answered', latencyMs })
+}
+
+// Frees the permit without a sample that the limit would learn from.
+function free (result: GateResult | undefined): void {
+  if (result?.kind === 'permit') result.permit.release({ kind: 'failed', latencyMs: 10 })
+}
+
+// Guards against a claim that waits behind browsing.
+test('waiting calls get permits in order of priority', async (t) => {
+  await fc.assert(fc.asyncProperty(fc.array(fc.integer({ min: 0, max: 255 }), { minLength: 1, maxLength: 30 }), async (priorities) => {
+    const { enter } = await createGate()
+    const running = await enter().done
+    const order: number[] = []
+    const calls = priorities.map((priority) => enter({ priority }).done.then((result) => { order.push(priority); free(result) }))
+    free(running)
+    await Promise.all(calls)
+    t.deepEqual(order, [...priorities].sort((a, b) => b - a))
+  }), { seed: 1, numRuns: 30 })
+})
+
+// Guards against claims dropped while browsing waits in the same full queue.
+test('a full queue drops the lowest priorities first and reports them as not run', async (t) => {
+  await fc.assert(fc.asyncProperty(fc.array(fc.integer({ min: 0, max: 191 }), { minLength: 33, maxLength: 120 }), async (priorities) => {
+    const { clock, enter } = await createGate()
+    await enter().done
+    const calls = priorities.map((priority) => ({ priority, call: enter({ priority }) }))
+    await clock.advance(0)
+    const dropped = calls.filter(({ call }) => call.result !== undefined)
+    const kept = calls.filter(({ call }) => call.result === undefined)
+    t.is(kept.length, 32)
+    t.true(dropped.every(({ call }) => call.result?.kind === 'refused' && call.result.refusal.outcome === 'not-run'))
+    t.true(Math.max(...dropped.map((d) => d.priority)) <= Math.min(...kept.map((k) => k.priority)))
+  }), { seed: 2, numRuns: 30 })
+})
+
+// Guards against an upload cut off after its body has begun to arrive.
+test('an upload whose body has started outlives calls of higher priority', async (t) => {
+  const { clock, enter } = await createGate()
+  await enter().done
+  const upload = enter({ priority: 0, bodyStarted: true })
+  for (let i = 0; i < 100; i++) enter({ priority: 150 })
+  await clock.advance(0)
+  t.is(upload.result, undefined)
+})
+
+// Guards against slots spent on calls whose caller has given up by the time they end.
+test('a call that cannot finish before its deadline is not dispatched', async (t) => {
+  const { clock, gate, enter } = await createGate(2)
+  release(await enter().done, 500)
+  const early = await enter({ remainingMs: 400 }).done
+  t.is(early.kind === 'refused' ? early.refusal.outcome : early.kind, 'not-run')
+  const running = await Promise.all([enter().done, enter().done])
+  const waiting = enter({ remainingMs: 600 })
+  await clock.advance(200)
+  gate.tick()
+  await clock.advance(0)
+  t.is(waiting.result?.kind === 'refused' ? waiting.result.refusal.code : undefined, 'deadline-exceeded')
+  running.forEach((result) => { release(result) })
+})
+
+// Guards against an operation that stays refused after its target has become fast again.
+test('a latency estimate from a slow period fades without new samples', async (t) => {
+  const { clock, enter } = await createGate()
+  release(await enter().done, 30_000)
+  t.is((await enter({ remainingMs: 1000 }).done).kind, 'refused')
+  await clock.advance(15_000)
+  t.is((await enter({ remainingMs: 1000 }).done).kind, 'permit')
+})
+
+// Guards against slots that leak when callers go away, or that are returned twice.
+test('cancelled waiters leave at once and permits count once', async (t) => {
+  const { gate, enter } = await createGate()
+  const first = await enter().done
+  const waiting = [enter(), enter(), enter()]
+  waiting[1]!.abort()
+  t.is((await waiting[1]!.done).kind, 'refused')
+  t.is(gate.load().queued, 2)
+  free(first)
+  free(first)
+  await waiting[0]!.done
+  t.is(gate.load().inFlight, 1)
+  t.is(gate.load().queued, 1)
+})
+
+// Guards against a cold target that gets its full load in its first second.
+test('a started target is ramped up over 10 s', async (t) => {
+  const clock = createFakeClock()
+  const gate = createTargetGate({ clock })
+  t.is(gate.load().limit, 0)
+  gate.targetStarted(50)
+  t.is(gate.load().limit, 5)
+  await clock.advance(5000)
+  t.is(gate.load().limit, 30)
+  await clock.advance(5000)
+  t.is(gate.load().limit, 50)
+  gate.targetStarted(50)
+  t.is(gate.load().limit, 5)
+})
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,1 +1,8 @@
-export {}
+export * from './admission/entry-admission.js'
+export * from './admission/target-gate.js'
+export * from './limits/latencies.js'
+export * from './retries/ask-retry.js'
+export * from './retries/may-retry.js'
+export * from './retries/retry-ledger.js'
+export * from './routing/inter-region-budget.js'
+export * from './routing/router.js'
--- /dev/null
+++ b/packages/node/src/limits/latencies.ts
@@ -0,0 +1,53 @@
+import type { Clock } from '@orioleslip/core'
+import { LRUCache } from 'lru-cache'
+
+/** Recent latency of each operation. */
+export type Latencies = {
+  add: (opKey: string, latencyMs: number) => void
+  /** Adds a call that was given up after `latencyMs`; its full latency is unknown but not shorter. */
+  addCutShort: (opKey: string, latencyMs: number) => void
+  /** Recent median in ms; 0 when nothing recent is known. */
+  p50Ms: (opKey: string) => number
+}
+
+// Operation keys come from the plans; the bound only matters when plans are replaced many times.
+const MAX_OPERATIONS = 2000
+// Each sample moves the median by at most 8%, so a single outlier has no effect and a 10x change is followed in about 30 samples.
+const STEP = 0.08
+// Without new samples the estimate halves in this time. Otherwise one slow period would keep an operation refused for ever.
+const IDLE_HALF_LIFE_MS = 2000
+const IDLE_GRACE_MS = 1000
+
+type Entry = { medianMs: number, atMs: number }
+
+/** Creates a tracker of latencies per operation. */
+export function createLatencies (clock: Clock): Latencies {
+  const entries = new LRUCache<string, Entry>({ max: MAX_OPERATIONS })
+
+  const current = (entry: Entry): number => {
+    const idleMs = clock.nowMs() - entry.atMs - IDLE_GRACE_MS
+    return idleMs <= 0 ? entry.medianMs : entry.medianMs * 0.5 ** (idleMs / IDLE_HALF_LIFE_MS)
+  }
+  const add = (opKey: string, latencyMs: number): void => {
+    const sampleMs = Math.max(0.01, latencyMs)
+    const entry = entries.get(opKey)
+    if (entry === undefined) {
+      entries.set(opKey, { medianMs: sampleMs, atMs: clock.nowMs() })
+      return
+    }
+    const medianMs = current(entry)
+    entry.medianMs = sampleMs > medianMs ? Math.min(sampleMs, medianMs * (1 + STEP)) : Math.max(sampleMs, medianMs / (1 + STEP))
+    entry.atMs = clock.nowMs()
+  }
+  return {
+    add,
+    addCutShort: (opKey, latencyMs) => {
+      const entry = entries.get(opKey)
+      if (entry === undefined || latencyMs > current(entry)) add(opKey, latencyMs)
+    },
+    p50Ms: (opKey) => {
+      const entry = entries.get(opKey)
+      return entry === undefined ? 0 : current(entry)
+    }
+  }
+}
