Extend the key register's interface for repeated starts and expiry

Cause: a head that reaches one executor twice with the same token was granted twice; waiters could not tell a running call from one whose outcome is unknown; nodes don't know the retention time, so only the register can refuse old UUIDv7 keys.

--- a/packages/core/src/interfaces/keys.ts
+++ b/packages/core/src/interfaces/keys.ts
@@ -14,11 +14,13 @@
   | { kind: 'granted' }
   /** The key was used with a different operation or body. */
   | { kind: 'mismatch' }
-  /** Another token has dispatched and no outcome is recorded. */
-  | { kind: 'dispatched', executorVm: string }
+  /** Another attempt has dispatched and no outcome is recorded; with `remainingMs` 0 its deadline has passed and its outcome is unknown. */
+  | { kind: 'dispatched', executorVm: string, remainingMs: number }
   | { kind: 'finished', run: FinishedRun }
-  /** This token was cancelled before its claim arrived. */
+  /** This token is fenced: cancelled or released before, or too old. */
   | { kind: 'cancelled' }
+  /** The key is a UUIDv7 older than the retention time; it may have run before. */
+  | { kind: 'expired' }
   /** The register holds its maximum of keys; nothing was recorded. */
   | { kind: 'full' }
 
@@ -38,6 +40,13 @@
   /** SHA-256 of method, path, query and body, in hex. */
   requestHash: string
   executorVm: string
+  /**
+   * Names one start of the attempt at one executor process, 16 hex digits. Only a repetition with the same `claimId` is granted
+   * again, so a head that reaches two executors, or one executor twice, is dispatched once.
+   */
+  claimId: string
+  /** Time left until the deadline of the call, in ms. */
+  timeoutMs: number
 }
 
 /** Linearizable record of the keys of non-repeatable calls, kept on the control VMs. */
