Add the state machine of the key register

Cause: non-repeatable calls need a linearizable record of claims that survives the loss of control VMs.

--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -1,1 +1,3 @@
-export {}
+export * from './keys/commands.js'
+export * from './keys/key-machine.js'
+export * from './keys/key-register.js'
