Add the executor's and the entry node's side of at-most-once calls

Cause: the call path needs to claim keys before a dispatch and to decide what a caller is told after a lost executor. Change: node/idempotency has createOnceGuard, resolveLostCall, createRegisterClient, request hash, answer recorder, token and key parsing. Conclusion: ready to be called from the server; `dispatch` is the only permission to write to the target.

--- /dev/null
+++ b/packages/node/src/idempotency/lost-call.ts
@@ -0,0 +1,52 @@
+import {
+  notRun, unknownOutcome, type Clock, type KeyId, type KeyRegister, type Refusal, type RefusalCode,
+  type StoredAnswer
+} from '@orioleslip/core'
+import { refusalOfFinished } from './refusals.js'
+import { createBackoff, within } from './within.js'
+
+/** A call whose executor the entry node lost after it may have sent the head. */
+export type LostCall = KeyId & {
+  token: string
+  /** Deadline on this node's clock (`nowMs`). */
+  deadlineMs: number
+  /** Code of the refusal, by what was lost. */
+  code: Extract<RefusalCode, 'target-lost' | 'deadline-exceeded' | 'bad-answer' | 'draining'>
+}
+
+export type LostCallVerdict = { kind: 'replay', answer: StoredAnswer } | { kind: 'refuse', refusal: Refusal }
+
+// Time for the first cancel when the deadline is near or has passed, in ms: one quorum round trip between regions with a disk sync.
+// Without it a call that never reached its executor would be reported as unknown.
+const FIRST_CANCEL_MS = 250
+
+/**
+ * Decides what a caller is told after the contact with the executor was lost. `not-run` only follows a successful cancel, after which the
+ * register grants the token no more. A dispatched call is awaited until the deadline, since its executor may still record the answer.
+ */
+export async function resolveLostCall (deps: { register: KeyRegister, clock: Clock }, call: LostCall): Promise<LostCallVerdict> {
+  const { register, clock } = deps
+  const { customer, key, token, code } = call
+  const endMs = Math.max(call.deadlineMs, clock.nowMs() + FIRST_CANCEL_MS)
+  const remainingMs = () => endMs - clock.nowMs()
+  const backoff = createBackoff(25, 1000)
+  let detail = 'the key register could not be asked whether the call was dispatched'
+
+  while (remainingMs() > 0) {
+    const reply = await within(clock, remainingMs(), register.cancel({ customer, key }, token))
+    if (reply?.isOk()) {
+      const result = reply.value
+      switch (result.kind) {
+        case 'cancelled':
+          return { kind: 'refuse', refusal: notRun(code, 'the call had not been dispatched and its token is cancelled') }
+        case 'finished':
+          if (result.run.answer !== undefined) return { kind: 'replay', answer: result.run.answer }
+          return { kind: 'refuse', refusal: refusalOfFinished(result.run) }
+        case 'dispatched':
+          detail = `${result.executorVm} dispatched the call and has recorded no outcome`
+      }
+    }
+    await clock.sleep(Math.min(backoff(), Math.max(0, remainingMs())))
+  }
+  return { kind: 'refuse', refusal: unknownOutcome(code, detail) }
+}
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,1 +1,7 @@
-export {}
+export * from './idempotency/answer-recorder.js'
+export * from './idempotency/idempotency-key.js'
+export * from './idempotency/lost-call.js'
+export * from './idempotency/once-guard.js'
+export * from './idempotency/register-client.js'
+export * from './idempotency/request-hash.js'
+export * from './idempotency/token.js'
