Add the replicated log with durable storage

Cause: lists and keys need a log that survives restarts; other modules are built on it. The parts that need several replicas have no test yet. Conclusion: a single-replica group can be used; groups of several replicas follow with their tests.

--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -1,1 +1,7 @@
-export {}
+export * from './replication/messages.js'
+export * from './replication/replicated-log.js'
+export type { InitError } from './replication/init.js'
+export type { ReplicationLogger, ReplicationPeer } from './replication/replica.js'
+export * from './replication/settings.js'
+export type { StorageError } from './storage/errors.js'
+export { nodeFileSystem, type FileSystem, type OpenFile } from './storage/file-system.js'
--- /dev/null
+++ b/packages/control/src/replication/apply.ts
@@ -0,0 +1,57 @@
+import { err, ok } from 'neverthrow'
+import { noteStorageError, type Replica } from './replica.js'
+import { stepDown } from './roles.js'
+import { startTask } from './tasks.js'
+
+/** Applies committed entries in log order and answers their callers. */
+export function applyCommitted (replica: Replica) {
+  const { store, machine } = replica
+  if (replica.lastApplied === replica.commitIndex) return
+  while (replica.lastApplied < replica.commitIndex) {
+    const index = replica.lastApplied + 1
+    const entry = store.log.entry(index)
+    if (entry === undefined) throw new Error(`committed entry ${index} is not in the log`)
+    const { body, term } = entry
+    let reply: unknown
+    try {
+      if (body.kind === 'command') reply = machine.apply(index, body.cmd)
+    } catch (cause) {
+      // Skipping the entry would make this replica differ from the others.
+      replica.fault = `applying entry ${index} failed: ${String(cause)}; report this fault with the data folder`
+      replica.logger.error({ group: replica.group, err: cause }, replica.fault)
+      stepDown(replica, replica.fault)
+      return
+    }
+    if (body.kind === 'config') replica.appliedConfig = body.config
+    replica.lastApplied = index
+    const proposal = replica.leadership?.waiting.get(index)
+    replica.leadership?.waiting.delete(index)
+    if (term === replica.leadership?.term) proposal?.resolve(ok(reply))
+    else proposal?.resolve(err({ kind: 'notLeader', message: 'another leader\'s entry took the place; the command was not applied' }))
+    if (body.kind === 'command') for (const listener of replica.listeners) listener(index)
+  }
+  replica.changed.notify()
+  if (isSnapshotDue(replica)) startTask(replica, takeSnapshot(replica))
+}
+
+function isSnapshotDue (replica: Replica): boolean {
+  const { settings, store, lastApplied } = replica
+  const since = store.snapshot()?.lastIndex ?? 0
+  if (replica.savingSnapshot || lastApplied <= since || replica.clock.nowMs() < replica.pausedUntilMs) return false
+  if (lastApplied - since >= settings.snapshotEntries) return true
+  return lastApplied % 16 === 0 && store.log.bytesFrom(since + 1) >= settings.snapshotBytes
+}
+
+/** Writes a snapshot of the applied state and drops the entries it replaces. */
+export async function takeSnapshot (replica: Replica) {
+  const { store, machine, settings, appliedConfig, lastApplied } = replica
+  const lastTerm = store.log.entry(lastApplied)?.term
+  if (appliedConfig === undefined || lastTerm === undefined || replica.savingSnapshot) return
+  replica.savingSnapshot = true
+  const saved = await store.saveSnapshot({ lastIndex: lastApplied, lastTerm, config: appliedConfig, state: machine.snapshot() })
+  const dropped = saved.isErr()
+    ? saved
+    : await replica.lock(async () => replica.closed ? saved : await store.log.dropBefore(lastApplied - settings.trailingEntries + 1))
+  if (dropped.isErr()) noteStorageError(replica, dropped.error)
+  replica.savingSnapshot = false
+}
--- /dev/null
+++ b/packages/control/src/replication/handler.ts
@@ -0,0 +1,58 @@
+import { handleVote } from './election.js'
+import { handleAppend, handleSnapshot } from './follower.js'
+import { handleJoin } from './membership.js'
+import type { ReplicationMessage, ReplicationReply } from './messages.js'
+import { handleForward } from './proposals.js'
+import { currentIndex } from './reads.js'
+import { failureOf, refusedReply, type Replica } from './replica.js'
+
+/** Answers a message from another replica. */
+export async function handleMessage (replica: Replica, msg: ReplicationMessage): Promise<ReplicationReply> {
+  const refusal = refusalOf(replica, msg)
+  if (refusal !== undefined) return refusal
+  const { body, from } = msg
+  switch (body.kind) {
+    case 'vote': return await locked(replica, () => handleVote(replica, from.storageId, body))
+    case 'append': return await locked(replica, () => handleAppend(replica, from.vmId, body))
+    case 'snapshot': return await locked(replica, () => handleSnapshot(replica, from.vmId, body))
+    case 'readIndex': {
+      const index = currentIndex(replica)
+      return { kind: 'readIndex', ...(index === undefined ? {} : { index }) }
+    }
+    case 'forward': return await handleForward(replica, body.cmd)
+    case 'join': return { kind: 'join', accepted: await handleJoin(replica, from.vmId) }
+    case 'identify': return {
+      kind: 'identify',
+      storageId: replica.self.storageId,
+      ...(replica.config === undefined ? {} : { groupId: replica.config.groupId }),
+      initiating: replica.initiating,
+      hasLeader: currentIndex(replica) !== undefined
+    }
+  }
+}
+
+/** After a failed sync or a fault this replica acknowledges nothing, also if the fault arises while the message waits. */
+async function locked (replica: Replica, task: () => Promise<ReplicationReply>): Promise<ReplicationReply> {
+  return await replica.lock(async () => {
+    if (replica.closed) return refusedReply(replica, 'closed', 'the control process is stopping')
+    const before = failureOf(replica)
+    if (before !== undefined) return refusedReply(replica, 'failed', before)
+    const reply = await task()
+    const after = failureOf(replica)
+    return after === undefined ? reply : refusedReply(replica, 'failed', after)
+  })
+}
+
+function refusalOf (replica: Replica, { group, groupId, to, body }: ReplicationMessage): ReplicationReply | undefined {
+  const own = replica.config?.groupId
+  if (replica.closed) return refusedReply(replica, 'closed', 'the control process is stopping')
+  if (group !== replica.group) return refusedReply(replica, 'group', `this is log group "${replica.group}", not "${group}"`)
+  // Identification must also work between groups, so that init can refuse to create a second one.
+  if (body.kind !== 'identify' && groupId !== undefined && own !== undefined && groupId !== own) {
+    return refusedReply(replica, 'group', `this replica belongs to group ${own}, the sender to ${groupId}; check the settings of both VMs`)
+  }
+  if (to !== undefined && to !== replica.self.storageId) {
+    return refusedReply(replica, 'identity', `this disk is ${replica.self.storageId}, not ${to}`)
+  }
+  return undefined
+}
--- /dev/null
+++ b/packages/control/src/replication/init.ts
@@ -0,0 +1,70 @@
+import { randomUUID } from 'node:crypto'
+import { err, ok, type Result } from 'neverthrow'
+import type { Configuration, Member } from '../storage/entry.js'
+import { standForElection } from './election.js'
+import { failureOf, noteStorageError, refreshConfiguration, request, saveTerm, type Replica } from './replica.js'
+import { startTask } from './tasks.js'
+
+/** The group was not created; `message` names the reason and the remedy. */
+export type InitError = { kind: 'initRefused', message: string }
+
+const refuse = (message: string) => err<void, InitError>({ kind: 'initRefused', message })
+
+/**
+ * Creates the group with the given VMs. All of them must answer, because their storage ids go into the first configuration.
+ * Two attempts at the same time refuse each other.
+ */
+export async function initGroup (replica: Replica, vmIds: string[]): Promise<Result<void, InitError>> {
+  const failure = failureOf(replica)
+  if (replica.closed || failure !== undefined) return refuse(failure ?? 'the control process is stopping')
+  if (replica.config !== undefined || replica.store.log.lastIndex() > 0) return refuse(`group "${replica.group}" exists already on this VM; nothing to do`)
+  if (replica.initiating) return refuse('another init runs on this VM; wait for its result')
+  const unknown = vmIds.find((vmId) => !replica.peers.some((peer) => peer.vmId === vmId))
+  if (unknown !== undefined) return refuse(`"${unknown}" is not among the control VMs of the settings; correct the name`)
+  if (!vmIds.includes(replica.self.vmId)) return refuse(`this VM ("${replica.self.vmId}") must be one of the first members`)
+  replica.initiating = true
+  try {
+    const members = await askPeers(replica, vmIds)
+    if (members.isErr()) return err(members.error)
+    return await replica.lock(() => writeFirstEntry(replica, members.value))
+  } finally {
+    replica.initiating = false
+    if (replica.config !== undefined) startTask(replica, standForElection(replica))
+  }
+}
+
+async function askPeers (replica: Replica, vmIds: string[]): Promise<Result<Member[], InitError>> {
+  const { peers, self, settings } = replica
+  const others = peers.filter(({ vmId }) => vmId !== self.vmId)
+  const replies = await Promise.all(others.map(async ({ vmId }) => {
+    const reply = await request(replica, vmId, { kind: 'identify', init: true }, undefined, 4 * settings.rpcTimeoutMs)
+    return { vmId, reply: reply?.kind === 'identify' ? reply : undefined }
+  }))
+  const members: Member[] = [{ ...self, voter: true }]
+  for (const { vmId, reply } of replies) {
+    if (reply?.groupId !== undefined) return refuseMembers(`"${vmId}" already belongs to a group; this VM joins it by itself`)
+    if (reply?.initiating === true) return refuseMembers(`"${vmId}" is creating a group at the same time; wait for its result`)
+    if (!vmIds.includes(vmId)) continue
+    if (reply === undefined) return refuseMembers(`"${vmId}" does not answer; start it, or leave it out and let it join later`)
+    members.push({ vmId, storageId: reply.storageId, voter: true })
+  }
+  return ok(members)
+}
+
+const refuseMembers = (message: string) => err<Member[], InitError>({ kind: 'initRefused', message })
+
+async function writeFirstEntry (replica: Replica, members: Member[]): Promise<Result<void, InitError>> {
+  const { store } = replica
+  if (replica.config !== undefined) return refuse('this VM has joined a group in the meantime; nothing to do')
+  const config: Configuration = { groupId: randomUUID(), members, excluded: [] }
+  replica.term = Math.max(1, replica.term)
+  if (!await saveTerm(replica)) return refuse(failureOf(replica) ?? 'the term could not be written; check the data folder')
+  const written = await store.log.append([{ index: 1, term: replica.term, body: { kind: 'config', config } }])
+  if (written.isErr()) {
+    noteStorageError(replica, written.error)
+    return refuse(written.error.message)
+  }
+  refreshConfiguration(replica)
+  replica.logger.info({ group: replica.group, members }, 'the group is created')
+  return ok()
+}
--- /dev/null
+++ b/packages/control/src/replication/leader.ts
@@ -0,0 +1,110 @@
+import { err } from 'neverthrow'
+import type { LogEntry } from '../storage/entry.js'
+import { applyCommitted } from './apply.js'
+import { reachedByQuorum, votersOf } from './configuration.js'
+import { runMembership } from './membership.js'
+import { createNotifier } from './notifier.js'
+import { proposeBody } from './proposals.js'
+import { runReplicator } from './replicator.js'
+import { noteStorageError, refreshConfiguration, termAt, type Leadership, type Replica } from './replica.js'
+import { quorumContactMs, stepDown } from './roles.js'
+import { startTask } from './tasks.js'
+
+/** Starts leading in the current term. */
+export function startLeading (replica: Replica) {
+  const { clock, term, self } = replica
+  const leadership: Leadership = {
+    term,
+    startedMs: clock.nowMs(),
+    firstIndex: 0,
+    progress: new Map(),
+    proposals: [],
+    waiting: new Map(),
+    joins: new Map(),
+    queued: createNotifier(clock),
+    written: createNotifier(clock),
+    ended: false
+  }
+  replica.role = 'leader'
+  replica.leaderVmId = self.vmId
+  replica.leadership = leadership
+  replica.logger.info({ group: replica.group, term }, 'this replica leads')
+  startTask(replica, proposeBody(replica, { kind: 'noop' }))
+  startTask(replica, runWriter(replica, leadership))
+  startTask(replica, checkQuorum(replica, leadership))
+  startTask(replica, runMembership(replica, leadership))
+  startReplicators(replica, leadership)
+  replica.changed.notify()
+}
+
+/** Starts a task for each member that has none. Tasks of removed members end by themselves. */
+function startReplicators (replica: Replica, leadership: Leadership) {
+  for (const { vmId, storageId } of replica.config?.members ?? []) {
+    if (storageId === replica.self.storageId || leadership.progress.has(storageId)) continue
+    const progress = { vmId, storageId, nextIndex: replica.store.log.lastIndex() + 1, matchIndex: 0, contactMs: -Infinity }
+    leadership.progress.set(storageId, progress)
+    startTask(replica, runReplicator(replica, leadership, progress, () => advanceCommit(replica, leadership)))
+  }
+}
+
+/** Writes queued proposals, many per sync. They are sent to peers only once they are on this disk. */
+async function runWriter (replica: Replica, leadership: Leadership) {
+  while (!leadership.ended) {
+    if (leadership.proposals.length === 0) await leadership.queued.wait(replica.settings.heartbeatMs)
+    else await replica.lock(() => writeBatch(replica, leadership))
+  }
+}
+
+async function writeBatch (replica: Replica, leadership: Leadership) {
+  if (leadership.ended) return
+  const { store, settings } = replica
+  const batch = leadership.proposals.splice(0, settings.batchEntries).filter(({ cancelled }) => !cancelled)
+  if (batch.length === 0) return
+  const firstIndex = store.log.lastIndex() + 1
+  const entries = batch.map<LogEntry>(({ body }, i) => ({ index: firstIndex + i, term: leadership.term, body }))
+  const written = await store.log.append(entries)
+  if (written.isErr()) {
+    noteStorageError(replica, written.error)
+    const { message } = written.error
+    for (const { resolve } of batch) resolve(err({ kind: 'refused', message }))
+    const isAlone = replica.config !== undefined && votersOf(replica.config).length === 1
+    if (!leadership.ended && (!isAlone || store.failure() !== undefined)) stepDown(replica, message)
+    return
+  }
+  if (entries.some(({ body }) => body.kind === 'config')) {
+    refreshConfiguration(replica)
+    if (!leadership.ended) startReplicators(replica, leadership)
+  }
+  if (leadership.ended) {
+    for (const { resolve } of batch) resolve(err({ kind: 'outcomeUnknown', message: 'the leader stepped down during the write; resend with the same id' }))
+    return
+  }
+  if (leadership.firstIndex === 0) leadership.firstIndex = firstIndex
+  for (const [i, proposal] of batch.entries()) leadership.waiting.set(firstIndex + i, proposal)
+  leadership.written.notify()
+  advanceCommit(replica, leadership)
+}
+
+/** Commits what a quorum has on disk. Entries of earlier terms are only committed together with one of this term. */
+export function advanceCommit (replica: Replica, leadership: Leadership) {
+  const { config, self, store } = replica
+  if (leadership.ended || config === undefined) return
+  const index = reachedByQuorum(config, ({ storageId }) =>
+    storageId === self.storageId ? store.log.lastIndex() : leadership.progress.get(storageId)?.matchIndex ?? 0)
+  if (index <= replica.commitIndex || termAt(replica, index) !== leadership.term) return
+  replica.commitIndex = index
+  applyCommitted(replica)
+}
+
+/** Ends a leadership that has lost contact with a quorum for the shortest election timeout. */
+async function checkQuorum (replica: Replica, leadership: Leadership) {
+  const { clock, settings } = replica
+  while (!leadership.ended) {
+    await clock.sleep(settings.heartbeatMs)
+    if (leadership.ended) return
+    const nowMs = clock.nowMs()
+    const sinceMs = Math.max(quorumContactMs(replica, nowMs), leadership.startedMs)
+    if (replica.closed) stepDown(replica, 'the process is stopping')
+    else if (nowMs - sinceMs > settings.electionMinMs) stepDown(replica, 'no contact with a quorum')
+  }
+}
--- /dev/null
+++ b/packages/control/src/replication/membership.ts
@@ -0,0 +1,85 @@
+import type { ProposeError } from '@orioleslip/core'
+import { err, type Result } from 'neverthrow'
+import { nextConfiguration, type MemberView } from './configuration.js'
+import { proposeBody } from './proposals.js'
+import { ownMember, request, type Leadership, type Replica } from './replica.js'
+import { verifyJoin } from './replicator.js'
+
+// A learner that lags by less than this many entries catches up within a few messages.
+const CAUGHT_UP_ENTRIES = 64
+
+/** Adds, removes and promotes members on the leader, one committed change at a time. */
+export async function runMembership (replica: Replica, leadership: Leadership) {
+  const { clock, settings, store, self } = replica
+  const contactMs = (storageId: string) => leadership.progress.get(storageId)?.contactMs ?? -Infinity
+  const matchIndex = (storageId: string) => leadership.progress.get(storageId)?.matchIndex ?? 0
+  const view: MemberView = {
+    joins: leadership.joins,
+    isHeard: (storageId) => storageId === self.storageId || clock.nowMs() - contactMs(storageId) < settings.leaseMs,
+    isCaughtUp: (storageId) => view.isHeard(storageId) && matchIndex(storageId) + CAUGHT_UP_ENTRIES > store.log.lastIndex()
+  }
+  while (!leadership.ended) {
+    await clock.sleep(settings.heartbeatMs)
+    if (leadership.ended || replica.config === undefined) continue
+    if (!mayChange(replica, leadership)) continue
+    const config = nextConfiguration(replica.config, view)
+    forgetJoins(replica, leadership)
+    if (config === undefined) continue
+    replica.logger.info({ group: replica.group, members: config.members }, 'changing the members of the group')
+    await proposeBody(replica, { kind: 'config', config })
+  }
+}
+
+/** A change may only start once the one before it and an entry of this term are committed. */
+function mayChange (replica: Replica, leadership: Leadership): boolean {
+  const { commitIndex, configIndex } = replica
+  const isQueued = leadership.proposals.some(({ body }) => body.kind === 'config')
+  return !isQueued && leadership.firstIndex !== 0 && commitIndex >= Math.max(leadership.firstIndex, configIndex)
+}
+
+/** Takes a VM out of the group (`excluded`), or lets it join again. */
+export async function setExcluded (replica: Replica, vmId: string, excluded: boolean): Promise<Result<void, ProposeError>> {
+  const { leadership, config, self } = replica
+  const refuse = (message: string) => err<void, ProposeError>({ kind: 'refused', message })
+  if (leadership === undefined || config === undefined) return err({ kind: 'notLeader', message: 'this replica does not lead; ask the leader' })
+  if (excluded && vmId === self.vmId) return refuse('this VM leads the group; stop its control process first, then ask the new leader')
+  if (!mayChange(replica, leadership)) return refuse('another change of the members is under way; try again in a second')
+  const res = await proposeBody(replica, {
+    kind: 'config',
+    config: {
+      ...config,
+      members: excluded ? config.members.filter((member) => member.vmId !== vmId) : config.members,
+      excluded: [...config.excluded.filter((other) => other !== vmId), ...(excluded ? [vmId] : [])]
+    }
+  })
+  return res.map(() => undefined)
+}
+
+function forgetJoins (replica: Replica, leadership: Leadership) {
+  for (const [vmId, storageId] of leadership.joins) {
+    if (replica.config?.members.some((member) => member.storageId === storageId)) leadership.joins.delete(vmId)
+  }
+}
+
+/** Handles a request to join; the sender's VM must be among the control VMs of the settings. */
+export async function handleJoin (replica: Replica, vmId: string): Promise<boolean> {
+  const { leadership, peers } = replica
+  if (leadership === undefined || !peers.some((peer) => peer.vmId === vmId) || vmId === replica.self.vmId) return false
+  const storageId = await verifyJoin(replica, vmId)
+  if (storageId === undefined || leadership.ended) return false
+  leadership.joins.set(vmId, storageId)
+  return true
+}
+
+/** Asks the other control VMs for admission while this replica is no member. */
+export async function runJoin (replica: Replica) {
+  const { clock, settings, peers, self } = replica
+  while (!replica.closed) {
+    await clock.sleep(settings.joinRetryMs)
+    if (replica.closed || replica.fault !== undefined || ownMember(replica) !== undefined || replica.initiating) continue
+    for (const { vmId } of peers.filter((peer) => peer.vmId !== self.vmId)) {
+      const reply = await request(replica, vmId, { kind: 'join' })
+      if (reply?.kind === 'join' && reply.accepted) break
+    }
+  }
+}
--- /dev/null
+++ b/packages/control/src/replication/messages.ts
@@ -0,0 +1,62 @@
+import type { LogEntry } from '../storage/entry.js'
+
+/** A message between two replicas of a group. All fields are JSON-compatible. */
+export type ReplicationMessage = {
+  group: string
+  /** Absent while the sender belongs to no group. */
+  groupId?: string
+  from: { vmId: string, storageId: string }
+  /** Disk content the message is meant for; another one refuses it. Absent where any replica of the VM may answer. */
+  to?: string
+  body: RequestBody
+}
+
+export type VoteRequest = { kind: 'vote', pre: boolean, term: number, lastIndex: number, lastTerm: number }
+export type AppendRequest = { kind: 'append', term: number, prevIndex: number, prevTerm: number, entries: LogEntry[], commitIndex: number }
+export type SnapshotRequest = {
+  kind: 'snapshot'
+  term: number
+  lastIndex: number
+  offset: number
+  totalBytes: number
+  /** Base64, so that the message is JSON-compatible. */
+  data: string
+}
+
+export type RequestBody =
+  | { kind: 'identify', /** The sender is creating a group. */ init: boolean }
+  | VoteRequest
+  | AppendRequest
+  | SnapshotRequest
+  | { kind: 'readIndex' }
+  | { kind: 'forward', cmd: unknown }
+  | { kind: 'join' }
+
+export type VoteReply = { kind: 'vote', term: number, granted: boolean }
+export type AppendReply =
+  | { kind: 'append', ok: true, term: number, matchIndex: number }
+  /** `nextIndex` is where the leader should continue. */
+  | { kind: 'append', ok: false, term: number, nextIndex: number }
+export type SnapshotReply = { kind: 'snapshot', term: number, nextOffset: number, installed: boolean }
+export type IdentifyReply = { kind: 'identify', storageId: string, groupId?: string, initiating: boolean, hasLeader: boolean }
+export type ForwardReply =
+  | { kind: 'forward', status: 'ok', reply: unknown }
+  | { kind: 'forward', status: 'notLeader' | 'outcomeUnknown' | 'refused', message: string }
+
+/** The message was not processed. `storageId` is that of the replica that answered. */
+export type RefusedReply = { kind: 'refused', reason: 'identity' | 'group' | 'failed' | 'closed', storageId: string, message: string }
+
+export type ReplicationReply =
+  | VoteReply
+  | AppendReply
+  | SnapshotReply
+  | IdentifyReply
+  | ForwardReply
+  | { kind: 'readIndex', index?: number }
+  | { kind: 'join', accepted: boolean }
+  | RefusedReply
+
+/** Carries messages between control VMs. `send` rejects when there is no reply; a message may still have arrived, even several times. */
+export type ReplicationTransport = {
+  send: (vmId: string, message: ReplicationMessage) => Promise<ReplicationReply>
+}
--- /dev/null
+++ b/packages/control/src/storage/hard-state.ts
@@ -0,0 +1,32 @@
+import { err, ok, type Result } from 'neverthrow'
+import { z } from 'zod'
+import { damaged, type StorageError } from './errors.js'
+import { checksum } from './record.js'
+
+/** What a replica must remember to vote at most once per term. */
+export type HardState = {
+  storageId: string
+  term: number
+  /** Storage id of the candidate that got this replica's vote in `term`. */
+  vote: string | null
+}
+
+const schema = z.object({ storageId: z.string(), term: z.number().int().min(0), vote: z.string().nullable(), checksum: z.number() })
+
+const sumOf = (state: HardState) => checksum(Buffer.from(JSON.stringify([state.storageId, state.term, state.vote])))
+
+/** Encodes the hard state as JSON with a checksum. */
+export function encodeHardState (state: HardState): Buffer {
+  return Buffer.from(JSON.stringify({ ...state, checksum: sumOf(state) }) + '\n')
+}
+
+/** Decodes and verifies the hard state. */
+export function decodeHardState (file: string, data: Buffer): Result<HardState, StorageError> {
+  try {
+    const { checksum: expected, ...state } = schema.parse(JSON.parse(data.toString()))
+    if (sumOf(state) === expected) return ok(state)
+  } catch {
+    // Unreadable content is reported like a wrong checksum.
+  }
+  return err(damaged(file, 0, 'the hard state has a wrong checksum'))
+}
--- /dev/null
+++ b/packages/control/src/storage/segment-log.ts
@@ -0,0 +1,235 @@
+import { join } from 'node:path'
+import { err, ok, type Result } from 'neverthrow'
+import type { LogEntry } from './entry.js'
+import { attempt, attemptSync, damaged, type StorageError } from './errors.js'
+import type { FileSystem, OpenFile } from './file-system.js'
+import { encodeRecord } from './record.js'
+import { scanSegment, SEGMENT_MAGIC, segmentName } from './segment-scan.js'
+
+type Outcome = Promise<Result<void, StorageError>>
+
+/** Log entries in segment files, with a copy in memory. Writes must not overlap. */
+export type SegmentLog = {
+  /** Index of the first entry kept; `lastIndex() + 1` when there is none. */
+  firstIndex: () => number
+  lastIndex: () => number
+  entry: (index: number) => LogEntry | undefined
+  /** Entries from an index on, at least one and up to `maxBytes`. */
+  slice: (from: number, maxBytes: number) => LogEntry[]
+  /** Encoded size of the entries from an index on. */
+  bytesFrom: (index: number) => number
+  /** Writes the entries and syncs once. On an error none of them is kept. */
+  append: (entries: LogEntry[]) => Outcome
+  /** Removes the entry at `index` and all later ones. */
+  truncateFrom: (index: number) => Outcome
+  /** Removes all entries; the next one has `nextIndex`. */
+  reset: (nextIndex: number) => Outcome
+  /** Drops entries before `index`; files are removed once nothing in them is needed. */
+  dropBefore: (index: number) => Outcome
+  /** The fault after which nothing is written until the next start. */
+  failure: () => StorageError | undefined
+  close: () => Promise<void>
+}
+
+type Segment = { path: string, firstIndex: number, offsets: number[], size: number }
+
+/** Opens the segments of a folder; truncates a torn tail and reports damage elsewhere. */
+export async function openSegmentLog (fs: FileSystem, dir: string, segmentBytes: number): Promise<Result<SegmentLog, StorageError>> {
+  const segments: Segment[] = []
+  let entries: LogEntry[] = []
+  let sizes: number[] = []
+  let base = 1
+  let file: OpenFile | undefined
+  let failed: StorageError | undefined
+
+  const fail = (error: StorageError) => {
+    failed ??= error
+    return err(error)
+  }
+  const closeFile = async () => {
+    const open = file
+    file = undefined
+    if (open !== undefined) await attempt(dir, open.close)
+  }
+  const syncDir = async (): Outcome => {
+    const synced = await attemptSync(dir, () => fs.syncDir(dir))
+    return synced.isErr() ? fail(synced.error) : ok()
+  }
+
+  async function load (): Outcome {
+    const names = await attempt(dir, () => fs.list(dir))
+    if (names.isErr()) return err(names.error)
+    const found = names.value.filter((name) => name.endsWith('.seg')).sort()
+    for (const [position, name] of found.entries()) {
+      const path = join(dir, name)
+      const firstIndex = Number.parseInt(name, 10)
+      if (position === 0) base = firstIndex
+      if (firstIndex !== base + entries.length) return err(damaged(path, 0, `entries ${base + entries.length} to ${firstIndex - 1} are missing`))
+      const data = await attempt(path, () => fs.read(path))
+      if (data.isErr()) return err(data.error)
+      const scanned = scanSegment(path, data.value, firstIndex, position === found.length - 1)
+      if (scanned.isErr()) return err(scanned.error)
+      const { offsets, endOffset } = scanned.value
+      segments.push({ path, firstIndex, offsets, size: endOffset })
+      entries.push(...scanned.value.entries)
+      sizes.push(...offsets.map((offset, i) => (offsets[i + 1] ?? endOffset) - offset))
+      if (endOffset < data.value.length) {
+        const cut = await cutTo(segments.at(-1)!, endOffset)
+        if (cut.isErr()) return cut
+      }
+      if (endOffset === 0) {
+        const removed = await removeLastSegment()
+        if (removed.isErr()) return removed
+      }
+    }
+    return ok()
+  }
+
+  async function openLast (): Promise<Result<OpenFile, StorageError>> {
+    if (file !== undefined) return ok(file)
+    const path = segments.at(-1)!.path
+    const opened = await attempt(path, () => fs.open(path, 'existing'))
+    if (opened.isOk()) file = opened.value
+    return opened
+  }
+
+  async function cutTo (segment: Segment, size: number): Outcome {
+    const opened = await openLast()
+    if (opened.isErr()) return fail(opened.error)
+    const cut = await attempt(segment.path, () => opened.value.truncate(size))
+    if (cut.isErr()) return fail(cut.error)
+    segment.size = size
+    const synced = await attemptSync(segment.path, opened.value.sync)
+    return synced.isErr() ? fail(synced.error) : ok()
+  }
+
+  async function removeLastSegment (): Outcome {
+    await closeFile()
+    const segment = segments.pop()!
+    const removed = await attempt(segment.path, () => fs.remove(segment.path))
+    if (removed.isErr()) return fail(removed.error)
+    return await syncDir()
+  }
+
+  async function addSegment (firstIndex: number): Outcome {
+    await closeFile()
+    const path = join(dir, segmentName(firstIndex))
+    const opened = await attempt(path, () => fs.open(path, 'replace'))
+    if (opened.isErr()) return err(opened.error)
+    const written = await attempt(path, () => opened.value.write(SEGMENT_MAGIC, 0))
+    if (written.isErr()) {
+      await attempt(path, opened.value.close)
+      const removed = await attempt(path, () => fs.remove(path))
+      return removed.isErr() ? fail(removed.error) : written
+    }
+    file = opened.value
+    segments.push({ path, firstIndex, offsets: [], size: SEGMENT_MAGIC.length })
+    const synced = await attemptSync(path, opened.value.sync)
+    if (synced.isErr()) return fail(synced.error)
+    return await syncDir()
+  }
+
+  async function append (added: LogEntry[]): Outcome {
+    if (failed !== undefined) return err(failed)
+    if (added.length === 0) return ok()
+    const batchStart = added[0]!.index
+    if (batchStart !== base + entries.length) throw new Error(`entry ${batchStart} appended after entry ${base + entries.length - 1}`)
+    if (segments.length === 0 || segments.at(-1)!.size >= segmentBytes) {
+      const rolled = await addSegment(batchStart)
+      if (rolled.isErr()) return rolled
+    }
+    const segment = segments.at(-1)!
+    const opened = await openLast()
+    if (opened.isErr()) return err(opened.error)
+    const records = added.map((entry) => encodeRecord(entry, batchStart))
+    const written = await attempt(segment.path, () => opened.value.write(Buffer.concat(records), segment.size))
+    if (written.isErr()) {
+      const cut = await cutTo(segment, segment.size)
+      return cut.isErr() ? cut : written
+    }
+    const synced = await attemptSync(segment.path, opened.value.sync)
+    if (synced.isErr()) return fail(synced.error)
+    for (const record of records) {
+      segment.offsets.push(segment.size)
+      segment.size += record.length
+      sizes.push(record.length)
+    }
+    entries.push(...added)
+    return ok()
+  }
+
+  async function truncateFrom (index: number): Outcome {
+    if (failed !== undefined) return err(failed)
+    while (segments.length > 0 && segments.at(-1)!.firstIndex >= index) {
+      const segment = segments.at(-1)!
+      const removed = await removeLastSegment()
+      if (removed.isErr()) return removed
+      forgetFrom(segment.firstIndex)
+    }
+    const segment = segments.at(-1)
+    if (segment === undefined || index >= segment.firstIndex + segment.offsets.length) return ok()
+    const cut = await cutTo(segment, segment.offsets[index - segment.firstIndex]!)
+    if (cut.isErr()) return cut
+    segment.offsets.length = index - segment.firstIndex
+    forgetFrom(index)
+    return ok()
+  }
+
+  function forgetFrom (index: number) {
+    const kept = Math.max(0, index - base)
+    entries.length = Math.min(entries.length, kept)
+    sizes.length = entries.length
+  }
+
+  async function reset (nextIndex: number): Outcome {
+    // The newest file goes first, so that a crash in between leaves a contiguous log that the snapshot covers.
+    const emptied = await truncateFrom(0)
+    if (emptied.isErr()) return emptied
+    entries = []
+    sizes = []
+    base = nextIndex
+    return ok()
+  }
+
+  async function dropBefore (index: number): Outcome {
+    if (failed !== undefined) return err(failed)
+    const dropped = Math.min(Math.max(0, index - base), entries.length)
+    entries = entries.slice(dropped)
+    sizes = sizes.slice(dropped)
+    base += dropped
+    while (segments.length > 1 && segments[1]!.firstIndex <= base) {
+      const { path } = segments[0]!
+      const removed = await attempt(path, () => fs.remove(path))
+      if (removed.isErr()) return removed
+      const synced = await syncDir()
+      if (synced.isErr()) return synced
+      segments.shift()
+    }
+    return ok()
+  }
+
+  function slice (from: number, maxBytes: number): LogEntry[] {
+    let end = from - base
+    for (let bytes = 0; end < entries.length && (bytes === 0 || bytes + sizes[end]! <= maxBytes); end++) bytes += sizes[end]!
+    return entries.slice(from - base, end)
+  }
+
+  const loaded = await load()
+  if (loaded.isErr()) {
+    await closeFile()
+    return err(loaded.error)
+  }
+  return ok({
+    firstIndex: () => base,
+    lastIndex: () => base + entries.length - 1,
+    entry: (index) => entries[index - base],
+    slice,
+    bytesFrom: (index) => sizes.slice(Math.max(0, index - base)).reduce((sum, size) => sum + size, 0),
+    append,
+    truncateFrom,
+    reset,
+    dropBefore,
+    failure: () => failed,
+    close: closeFile
+  })
+}
