Let call ends tell how long the target waited for other services

Cause: a slow service further down makes a target slower at constant own load; a limit learnt from the whole latency shrinks then. Change: optional `downstreamMs` on answered calls. Conclusion: without the field the whole latency counts as the target's own.

--- a/packages/core/src/interfaces/admission.ts
+++ b/packages/core/src/interfaces/admission.ts
@@ -12,7 +12,8 @@
 
 /** How a call that held a permit ended. */
 export type CallEnd =
-  | { kind: 'answered', latencyMs: number }
+  /** `downstreamMs` is the part of the latency during which the target waited for its own calls to other services. */
+  | { kind: 'answered', latencyMs: number, downstreamMs?: number }
   /** The target itself answered that it sheds load. */
   | { kind: 'targetShed', latencyMs: number }
   | { kind: 'failed', latencyMs: number }
