--- /dev/null
+++ b/packages/node/src/calls/answer-writer.ts
@@ -0,0 +1,59 @@
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { HEADERS, REFUSALS, toProblem, type Refusal } from '@orioleslip/core'
+import type { ByteQueue } from '../links/byte-queue.js'
+import type { ResponseHead } from '../links/messages.js'
+import type { CallFinish } from '../links/outgoing-call.js'
+import { BUFFERED_BODY_LIMIT_BYTES } from './request-body.js'
+
+/** Writes a refusal as a problem document. */
+export function writeRefusal (req: IncomingMessage, res: ServerResponse, refusal: Refusal, requestId: string): void {
+  if (res.destroyed || res.headersSent) {
+    res.destroy()
+    return
+  }
+  const body = Buffer.from(JSON.stringify(toProblem(refusal, requestId)))
+  const headers = [
+    'content-type', 'application/problem+json', 'content-length', String(body.length),
+    HEADERS.outcome, refusal.outcome, HEADERS.requestId, requestId
+  ]
+  if (refusal.retryAfterS !== undefined) headers.push(HEADERS.retryAfter, String(Math.max(1, Math.ceil(refusal.retryAfterS))))
+  // Reading a large unwanted body to its end would cost more than a new connection.
+  if (!req.complete && Number(req.headers['content-length'] ?? Infinity) > BUFFERED_BODY_LIMIT_BYTES) headers.push('connection', 'close')
+  res.writeHead(REFUSALS[refusal.code].status, headers)
+  res.end(body)
+}
+
+/** Passes an answer on; an answer that breaks off destroys the caller's connection, so that it can't look complete. */
+export async function writeAnswer (
+  res: ServerResponse, head: ResponseHead, body: ByteQueue, finish: Promise<CallFinish>, extraHeaders: string[]
+): Promise<CallFinish> {
+  res.writeHead(head.status, [...head.headers, ...extraHeaders])
+  try {
+    for (;;) {
+      const chunk = await body.read()
+      if (chunk === undefined) break
+      if (!res.write(chunk)) await drained(res)
+    }
+  } catch {
+    res.destroy()
+    return finish
+  }
+  const end = await finish
+  if (end.kind === 'complete') res.end()
+  else res.destroy()
+  return end
+}
+
+/** Resolves when the response takes more bytes or its connection is gone. */
+function drained (res: ServerResponse): Promise<void> {
+  if (res.destroyed) return Promise.resolve()
+  return new Promise((resolve) => {
+    const done = () => {
+      res.removeListener('drain', done)
+      res.removeListener('close', done)
+      resolve()
+    }
+    res.on('drain', done)
+    res.on('close', done)
+  })
+}
--- /dev/null
+++ b/packages/node/src/calls/call-handler.ts
@@ -0,0 +1,288 @@
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import {
+  HEADERS, newTraceId, notRun, priorityOf, unknownOutcome,
+  type Clock, type EntryAdmission, type ListsIndex, type MemberRecord, type Operation, type Plan, type Quotas, type Refusal,
+  type RetryLedger, type RootContext
+} from '@orioleslip/core'
+import type { LostCall, LostCallVerdict } from '../idempotency/lost-call.js'
+import { writeAnswer, writeRefusal } from './answer-writer.js'
+import { startDeadline, type CallDeadline } from './call-deadline.js'
+import type { DecisionRecords } from './decision-records.js'
+import { newTrace, parseRequest, takeBody, type ParsedRequest } from './entry-request.js'
+import type { AttemptRecord, Forwarder, ForwardRequest, ForwardResult } from './forwarder.js'
+import type { InboundCall, InboundCalls } from './inbound-calls.js'
+import type { NodeStats } from './node-stats.js'
+import { BUFFERED_BODY_LIMIT_BYTES } from './request-body.js'
+import { HASHED_BODY_LIMIT_BYTES } from '../idempotency/request-hash.js'
+
+/** Lists in force on this node; undefined until a control VM has confirmed them. */
+export type CurrentLists = () => ListsIndex | undefined
+
+export type CallHandlerOptions = {
+  self: () => MemberRecord
+  lists: CurrentLists
+  /** A refusal for requests that enter here while the node stops; undefined otherwise. */
+  closed: () => Refusal | undefined
+  admission: EntryAdmission
+  quotas: Quotas
+  ledger: RetryLedger
+  inbound: InboundCalls
+  forwarder: Forwarder
+  /** Finds out what became of a non-repeatable call whose executor is out of contact. */
+  resolveLost: (call: LostCall) => Promise<LostCallVerdict>
+  records: DecisionRecords
+  stats: NodeStats
+  clock: Clock
+  /** True while this node stops; callers are asked to open their next connection elsewhere. */
+  stopping: () => boolean
+}
+
+/** Time that an unlisted call may take when it names no deadline, in ms. */
+const UNLISTED_TIMEOUT_MS = 10_000
+
+/** Where a request comes from. */
+type Origin =
+  | { kind: 'entry', root: RootContext, plan: Plan }
+  | { kind: 'child', root: RootContext, parent: InboundCall }
+
+type Admitted = { origin: Origin, opKey: string, op: Operation | undefined, onceKey: ForwardRequest['onceKey'] }
+
+/** How a request ended, for records and metrics. */
+type Ending = { status: number, outcome: string, detail: string, refusal?: Refusal['code'], attempts: AttemptRecord[], regionBytes: number }
+
+/** Handles HTTP requests of callers and of the target beside this node. */
+export function createCallHandler (options: CallHandlerOptions) {
+  const { lists, admission, quotas, ledger, inbound, forwarder, records, stats, clock } = options
+
+  const newRoot = (parsed: ParsedRequest, customer: string, opKey: string, op: Operation | undefined): RootContext => {
+    const self = options.self()
+    const requestId = newTraceId()
+    return {
+      requestId,
+      traceId: (parsed.trace ?? newTrace()).traceId,
+      customer,
+      entryOpKey: opKey,
+      // The request id is ours; hashing the caller's trace id would let a caller choose its priority.
+      priority: priorityOf(op?.importance ?? 'browse', requestId),
+      ledger: { host: self.host, port: self.peerPort },
+      region: self.region
+    }
+  }
+
+  const findParent = (parsed: ParsedRequest): InboundCall | Refusal | undefined => {
+    if (parsed.trace === undefined) return undefined
+    const exact = inbound.bySpan(parsed.trace.traceId, parsed.trace.spanId)
+    if (exact.kind === 'open') return exact.call
+    if (exact.kind === 'closed') return notRun('deadline-exceeded', 'the call that this one belongs to has ended')
+    // A caller that names a customer enters a request of its own; without one the call must belong to an open call.
+    if (parsed.customer !== undefined) return undefined
+    const newest = inbound.byTrace(parsed.trace.traceId)
+    return newest.kind === 'open' ? newest.call : undefined
+  }
+
+  /** Decides on a request before any work is spent on it. */
+  const admit = async (parsed: ParsedRequest): Promise<Admitted | Refusal> => {
+    const index = lists()
+    if (index === undefined) return notRun('lists-unconfirmed', 'no control VM has confirmed the lists since this node started', 1)
+    const parent = findParent(parsed)
+    if (parent !== undefined && 'code' in parent) return parent
+    const closed = parent === undefined ? options.closed() : undefined
+    if (closed !== undefined) return closed
+    const customer = parent?.root.customer ?? parsed.customer
+    if (customer === undefined) return notRun('customer-missing', 'the request names no customer and belongs to no open call')
+    const found = index.lookup(customer, parsed.service, parsed.method, parsed.pathname)
+    if (found.kind === 'customerUnknown') return notRun('customer-unknown', `customer "${customer}" is not in the customers list of revision ${index.revision}`)
+    if (found.kind === 'unlistedUnsafe') {
+      return notRun('operation-not-listed', `plan "${found.planName}" does not list ${parsed.method} ${parsed.pathname} of "${parsed.service}"`)
+    }
+    const op = found.kind === 'listed' ? found.op : undefined
+    const onceKey = op?.repeatable === false ? parsed.idempotencyKey : undefined
+    if (op?.repeatable === false && onceKey === undefined) return notRun('key-required', `${parsed.method} ${parsed.pathname} may not be repeated`)
+    if (parent !== undefined) return { origin: { kind: 'child', root: parent.root, parent }, opKey: found.opKey, op, onceKey }
+
+    const root = newRoot(parsed, customer, found.opKey, op)
+    const refusal = admission.judge(found.opKey, root.priority) ?? await takeQuota(customer, found.plan)
+    if (refusal !== undefined) return refusal
+    ledger.open(root, parsed.idempotencyKey)
+    return { origin: { kind: 'entry', root, plan: found.plan }, opKey: found.opKey, op, onceKey }
+  }
+
+  const takeQuota = async (customer: string, plan: Plan): Promise<Refusal | undefined> => {
+    const taken = quotas.take(customer, plan.ratePerSecond, plan.burst)
+    const verdict = taken instanceof Promise ? await taken : taken
+    if (verdict.kind === 'granted') return undefined
+    return notRun('rate-exceeded', `customer "${customer}" is over ${plan.ratePerSecond} requests per second`, verdict.retryAfterS)
+  }
+
+  const deadlineOf = (parsed: ParsedRequest, admitted: Admitted, callerGone: AbortSignal): CallDeadline => {
+    const wanted = parsed.timeoutMs ?? admitted.op?.timeoutMs ?? UNLISTED_TIMEOUT_MS
+    if (admitted.origin.kind === 'entry') return startDeadline(wanted, clock.nowMs, callerGone)
+    const { parent } = admitted.origin
+    const deadline = startDeadline(Math.min(wanted, parent.deadlineMs - clock.nowMs()), clock.nowMs, callerGone)
+    if (parent.signal.aborted) deadline.cancel()
+    else parent.signal.addEventListener('abort', deadline.cancel, { once: true })
+    return deadline
+  }
+
+  const serve = async (
+    req: IncomingMessage, res: ServerResponse, parsed: ParsedRequest, admitted: Admitted, deadline: CallDeadline
+  ): Promise<Ending> => {
+    const { root } = admitted.origin
+    if (admitted.onceKey !== undefined && (parsed.bodyBytes ?? 0) > HASHED_BODY_LIMIT_BYTES) {
+      return refuse(req, res, root.requestId, notRun('body-too-large', `the body has ${parsed.bodyBytes} bytes; at most ${HASHED_BODY_LIMIT_BYTES} are allowed`), [], 0)
+    }
+    const limit = admitted.onceKey === undefined ? BUFFERED_BODY_LIMIT_BYTES : HASHED_BODY_LIMIT_BYTES
+    const body = await takeBody(req, parsed.bodyBytes, limit)
+    const result = await forwarder.forward({
+      root,
+      service: parsed.service,
+      method: parsed.method,
+      path: parsed.path,
+      headers: parsed.headers,
+      opKey: admitted.opKey,
+      op: admitted.op,
+      body,
+      deadline,
+      traceFlags: parsed.trace?.flags ?? '00',
+      onceKey: admitted.onceKey
+    })
+    switch (result.kind) {
+      case 'answer': {
+        const extra = [HEADERS.outcome, 'complete', HEADERS.requestId, root.requestId]
+        if (options.stopping()) extra.push('connection', 'close')
+        const finish = await writeAnswer(res, result.head, result.body, result.finish, extra)
+        const report = result.settle(finish)
+        noteReport(admitted, report)
+        const complete = finish.kind === 'complete'
+        return {
+          status: result.head.status,
+          outcome: complete ? 'complete' : 'unknown',
+          detail: complete ? '' : `the answer broke off: ${finish.kind}`,
+          ...(complete ? {} : { refusal: 'bad-answer' as const }),
+          attempts: result.attempts,
+          regionBytes: report.regionBytes
+        }
+      }
+      case 'refused':
+        noteReport(admitted, result.report)
+        return refuse(req, res, root.requestId, result.refusal, result.attempts, result.report.regionBytes)
+      case 'lost':
+        noteReport(admitted, result.report)
+        return resolveLost(req, res, admitted, deadline, result)
+    }
+  }
+
+  const resolveLost = async (
+    req: IncomingMessage, res: ServerResponse, { origin, onceKey }: Admitted, deadline: CallDeadline, lost: Extract<ForwardResult, { kind: 'lost' }>
+  ): Promise<Ending> => {
+    const { root } = origin
+    const { attempts, report: { regionBytes } } = lost
+    const resolved = await options.resolveLost({
+      customer: root.customer,
+      key: onceKey ?? '',
+      token: lost.token,
+      deadlineMs: deadline.deadlineMs,
+      code: deadline.expired() ? 'deadline-exceeded' : 'target-lost'
+    })
+    if (resolved.kind === 'refuse') return refuse(req, res, root.requestId, resolved.refusal, attempts, regionBytes)
+    const { answer } = resolved
+    res.writeHead(answer.status, [...answer.headers, HEADERS.outcome, 'complete', HEADERS.requestId, root.requestId])
+    res.end(answer.body)
+    return { status: answer.status, outcome: 'complete', detail: 'answered from the key register', attempts, regionBytes }
+  }
+
+  const noteReport = ({ origin }: Admitted, report: { pathLevel: number, regionBytes: number }) => {
+    switch (origin.kind) {
+      case 'entry': return admission.learn(origin.root.entryOpKey, report.pathLevel)
+      case 'child': return origin.parent.addChild(report)
+    }
+  }
+
+  const note = (parsed: ParsedRequest, admitted: Admitted, ending: Ending, startedMs: number) => {
+    const { root, kind } = admitted.origin
+    const durationMs = clock.nowMs() - startedMs
+    stats.requestEnded({ entry: kind === 'entry', service: parsed.service, durationMs, ...ending })
+    records.add({
+      requestId: root.requestId,
+      traceId: root.traceId,
+      wallMs: clock.wallMs(),
+      customer: root.customer,
+      service: parsed.service,
+      opKey: admitted.opKey,
+      priority: root.priority,
+      entry: kind === 'entry',
+      admissionLevel: admission.level(root.entryOpKey),
+      durationMs,
+      ...ending
+    })
+  }
+
+  const noteRefused = (parsed: ParsedRequest, requestId: string, refusal: Refusal) => {
+    stats.requestEnded({ entry: true, service: parsed.service, status: 0, refusal: refusal.code, durationMs: 0, regionBytes: 0 })
+    records.add({
+      requestId,
+      traceId: parsed.trace?.traceId ?? '',
+      wallMs: clock.wallMs(),
+      customer: parsed.customer ?? '',
+      service: parsed.service,
+      opKey: `${parsed.method} ${parsed.service} ${parsed.pathname}`,
+      priority: 0,
+      entry: true,
+      status: 0,
+      outcome: refusal.outcome,
+      detail: `${refusal.code}: ${refusal.detail}`,
+      admissionLevel: 0,
+      attempts: [],
+      durationMs: 0,
+      regionBytes: 0
+    })
+  }
+
+  const handleOpen = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
+    const startedMs = clock.nowMs()
+    const parsed = parseRequest(req)
+    if (parsed.isErr()) return writeRefusal(req, res, parsed.error, newTraceId())
+    const admitted = await admit(parsed.value)
+    if ('code' in admitted) {
+      const requestId = newTraceId()
+      noteRefused(parsed.value, requestId, admitted)
+      return writeRefusal(req, res, admitted, requestId)
+    }
+    const gone = new AbortController()
+    res.on('close', () => { if (!res.writableFinished) gone.abort() })
+    const deadline = deadlineOf(parsed.value, admitted, gone.signal)
+    const { origin } = admitted
+    const { root, kind } = origin
+    const childEnded = origin.kind === 'child' ? origin.parent.childStarted() : undefined
+    let ending: Ending
+    try {
+      ending = await serve(req, res, parsed.value, admitted, deadline)
+    } catch (err) {
+      ending = refuse(req, res, root.requestId, unknownOutcome('internal-error', err instanceof Error ? err.message : String(err)), [], 0)
+    }
+    deadline.done()
+    childEnded?.()
+    if (kind === 'entry') ledger.close(root.requestId)
+    note(parsed.value, admitted, ending, startedMs)
+  }
+  let openRequests = 0
+  return {
+    /** Handles one request to its end; never rejects. */
+    handle: async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
+      openRequests++
+      try {
+        await handleOpen(req, res)
+      } finally {
+        openRequests--
+      }
+    },
+    openRequests: () => openRequests
+  }
+}
+
+function refuse (
+  req: IncomingMessage, res: ServerResponse, requestId: string, refusal: Refusal, attempts: AttemptRecord[], regionBytes: number
+): Ending {
+  writeRefusal(req, res, refusal, requestId)
+  return { status: 0, outcome: refusal.outcome, detail: `${refusal.code}: ${refusal.detail}`, refusal: refusal.code, attempts, regionBytes }
+}
--- /dev/null
+++ b/packages/node/src/calls/call-path.test.ts
@@ -0,0 +1,255 @@
+import test, { type ExecutionContext } from 'ava'
+import { once } from 'node:events'
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
+import { connect, createServer as createTcpServer, type AddressInfo, type Server, type Socket } from 'node:net'
+import { request } from 'undici'
+import { startNodePair, unusedPort, type NodePair, type PairOptions } from '../testing/node-pair.js'
+
+const CUSTOMER = { 'orioleslip-customer': 'c' }
+let keys = 0
+const orderHeaders = (key = `key-${++keys}`) => ({ ...CUSTOMER, 'idempotency-key': key })
+
+type Handler = (req: IncomingMessage, res: ServerResponse) => void
+
+async function pairWith (t: ExecutionContext, server: Server, options: Partial<PairOptions> = {}): Promise<NodePair> {
+  server.listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  const pair = await startNodePair({ targetPort: (server.address() as AddressInfo).port, ...options })
+  t.teardown(async () => {
+    await pair.stop()
+    server.close()
+  })
+  return pair
+}
+
+const httpTarget = (t: ExecutionContext, handler: Handler, options?: Partial<PairOptions>) => pairWith(t, createServer(handler), options)
+const tcpTarget = (t: ExecutionContext, onData: (socket: Socket, text: string) => void, options?: Partial<PairOptions>) =>
+  pairWith(t, createTcpServer((socket) => {
+    let text = ''
+    socket.on('error', () => {})
+    socket.on('data', (chunk) => {
+      text += chunk.toString()
+      onData(socket, text)
+    })
+  }), options)
+
+async function call (pair: NodePair, method: 'GET' | 'POST' | 'PUT', path: string, headers: Record<string, string> = CUSTOMER, body?: string) {
+  const res = await request(`${pair.url}${path}`, { method, headers, ...(body === undefined ? {} : { body }) })
+  const text = await res.body.text()
+  return { status: res.statusCode, outcome: res.headers['orioleslip-outcome'], text, headers: res.headers }
+}
+
+const problemOf = (res: { text: string }) => JSON.parse(res.text) as { type: string, outcome: string, remedy: string, requestId: string }
+
+test('an answer comes back with its status, headers and bytes', async (t) => {
+  const pair = await httpTarget(t, (req, res) => {
+    res.writeHead(207, ['x-a', '1', 'set-cookie', 'a=1', 'set-cookie', 'b=2'])
+    res.end(`${req.method} ${req.url} ${req.headers['x-b']} ${req.headers.traceparent?.length}`)
+  })
+  const res = await call(pair, 'GET', '/shop/items/7?x=%20y', { ...CUSTOMER, 'x-b': 'q' })
+  t.is(res.status, 207)
+  t.is(res.text, 'GET /items/7?x=%20y q 55')
+  t.deepEqual(res.headers['set-cookie'], ['a=1', 'b=2'])
+  t.is(res.outcome, 'complete')
+})
+
+// Guards against answers that reach another caller when they come back in another order.
+// 30 calls fit the queue of a target in its cold start.
+test('answers that overtake each other reach their own callers', async (t) => {
+  const pair = await httpTarget(t, (req, res) => { setTimeout(() => res.end(req.url), Number(req.url!.split('/')[2]) % 7 * 10) })
+  const texts = await Promise.all(Array.from({ length: 30 }, async (_, i) => (await call(pair, 'GET', `/shop/items/${i}`)).text))
+  t.deepEqual(texts, Array.from({ length: 30 }, (_, i) => `/items/${i}`))
+})
+
+// Guards against uploads that grow the node or lose bytes.
+test('a large upload arrives whole', async (t) => {
+  const pair = await httpTarget(t, (req, res) => {
+    let bytes = 0
+    req.on('data', (chunk: Buffer) => { bytes += chunk.length })
+    req.on('end', () => res.end(String(bytes)))
+  })
+  const size = 20 * 1024 * 1024
+  const res = await request(`${pair.url}/shop/sheets/1`, { method: 'PUT', headers: CUSTOMER, body: Buffer.alloc(size, 'x') })
+  t.is(await res.body.text(), String(size))
+})
+
+test('malformed requests are refused clearly and the node goes on', async (t) => {
+  const pair = await httpTarget(t, (_req, res) => res.end('ok'))
+  const refusals: Array<[string, Record<string, string>, number, string]> = [
+    ['/', CUSTOMER, 400, 'bad-request'],
+    ['/shop/../items/1', CUSTOMER, 400, 'bad-request'],
+    ['/shop/%2e%2E/items/1', CUSTOMER, 400, 'bad-request'],
+    ['/shop/items/1', {}, 400, 'customer-missing'],
+    ['/shop/items/1', { 'orioleslip-customer': 'nobody' }, 403, 'customer-unknown'],
+    ['/shop/items/1', { ...CUSTOMER, 'orioleslip-timeout-ms': 'soon' }, 400, 'bad-request']
+  ]
+  for (const [path, headers, status, code] of refusals) {
+    // Raw sockets, since HTTP clients normalise dot segments.
+    const socket = connect(pair.callerPort, '127.0.0.1')
+    const lines = [`GET ${path} HTTP/1.1`, 'host: x', 'connection: close', ...Object.entries(headers).map(([name, value]) => `${name}: ${value}`)]
+    socket.write(`${lines.join('\r\n')}\r\n\r\n`)
+    let text = ''
+    socket.on('data', (chunk) => { text += chunk.toString() })
+    await once(socket, 'close')
+    t.regex(text, new RegExp(`^HTTP/1.1 ${status} `), path)
+    t.regex(text, new RegExp(`urn:orioleslip:${code}"`), path)
+    t.regex(text, /orioleslip-outcome: not-run/)
+  }
+  t.is((await call(pair, 'POST', '/shop/unlisted')).status, 403)
+  t.is((await call(pair, 'POST', '/shop/orders')).status, 400)
+  t.is((await call(pair, 'GET', '/shop/items/1')).text, 'ok')
+})
+
+test('a connection that the target refuses is not run', async (t) => {
+  const pair = await startNodePair({ targetPort: await unusedPort() })
+  t.teardown(pair.stop)
+  const res = await call(pair, 'POST', '/shop/orders', orderHeaders(), '{}')
+  t.is(res.status, 502)
+  t.is(res.outcome, 'not-run')
+  t.regex(problemOf(res).remedy, /safe calls/)
+})
+
+// Guards against a claim on a key whose call never reached the target.
+test('a key whose call was not sent can be used again', async (t) => {
+  const port = await unusedPort()
+  const pair = await startNodePair({ targetPort: port })
+  t.teardown(pair.stop)
+  const headers = orderHeaders()
+  t.is((await call(pair, 'POST', '/shop/orders', headers, '{}')).outcome, 'not-run')
+  const server = createServer((_req, res) => res.end('ran')).listen(port, '127.0.0.1')
+  await once(server, 'listening')
+  t.teardown(() => server.close())
+  t.is((await call(pair, 'POST', '/shop/orders', headers, '{}')).text, 'ran')
+})
+
+// Guards against a second run after the target died with the order in hand.
+test('an order whose target dies after the dispatch is unknown and never runs again', async (t) => {
+  let runs = 0
+  const pair = await tcpTarget(t, (socket, text) => {
+    if (!text.includes('\r\n\r\n')) return
+    runs++
+    socket.destroy()
+  }, { retryAllowance: 2 })
+  const headers = orderHeaders()
+  const first = await call(pair, 'POST', '/shop/orders', headers, '{}')
+  t.deepEqual([first.status, first.outcome], [502, 'unknown'])
+  const resent = await call(pair, 'POST', '/shop/orders', headers, '{}')
+  t.deepEqual([resent.status, resent.outcome], [409, 'unknown'])
+  t.is(runs, 1)
+})
+
+test('a repeatable read is retried within the allowance and no further', async (t) => {
+  let runs = 0
+  const pair = await tcpTarget(t, (socket, text) => {
+    if (!text.includes('\r\n\r\n')) return
+    runs++
+    socket.destroy()
+  }, { retryAllowance: 2 })
+  const res = await call(pair, 'GET', '/shop/items/1')
+  t.deepEqual([res.status, res.outcome], [502, 'unknown'])
+  t.is(runs, 3)
+})
+
+// Guards against a cut answer that is passed on as complete.
+test('half an answer breaks the caller\'s connection', async (t) => {
+  for (const framing of ['content-length: 100\r\n\r\nhalf', 'transfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n']) {
+    const pair = await tcpTarget(t, (socket, text) => {
+      if (!text.includes('\r\n\r\n')) return
+      socket.write(`HTTP/1.1 200 OK\r\n${framing}`)
+      setTimeout(() => socket.destroy(), 20)
+    })
+    await t.throwsAsync(call(pair, 'GET', '/shop/items/1'))
+  }
+})
+
+test('an answer without framing is refused', async (t) => {
+  const pair = await tcpTarget(t, (socket, text) => {
+    if (text.includes('\r\n\r\n')) socket.end('HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nall of it?')
+  })
+  const res = await call(pair, 'GET', '/shop/items/1')
+  t.deepEqual([res.status, res.outcome], [502, 'unknown'])
+})
+
+// Guards against cancelled work that goes on at the target.
+test('a caller that goes away cancels a read at the target', async (t) => {
+  let closed: Promise<unknown> | undefined
+  const pair = await httpTarget(t, (req) => { closed = once(req.socket, 'close') })
+  const socket = connect(pair.callerPort, '127.0.0.1')
+  socket.write('GET /shop/items/1 HTTP/1.1\r\nhost: x\r\norioleslip-customer: c\r\n\r\n')
+  await until(() => closed !== undefined)
+  socket.destroy()
+  await closed
+  await until(() => pair.inFlight() === 0)
+  t.pass()
+})
+
+// Guards against an order that is cut by an impatient caller and then can't be answered to its resend.
+test('an order goes on when its caller goes away, and the resend gets its answer', async (t) => {
+  let runs = 0
+  const pair = await httpTarget(t, (_req, res) => {
+    runs++
+    setTimeout(() => res.end('done'), 100)
+  })
+  const socket = connect(pair.callerPort, '127.0.0.1')
+  socket.write('POST /shop/orders HTTP/1.1\r\nhost: x\r\norioleslip-customer: c\r\nidempotency-key: gone\r\ncontent-length: 2\r\n\r\n{}')
+  await until(() => runs === 1)
+  socket.destroy()
+  await until(() => pair.inFlight() === 0)
+  const res = await call(pair, 'POST', '/shop/orders', orderHeaders('gone'), '{}')
+  t.deepEqual([res.status, res.text, runs], [200, 'done', 1])
+})
+
+test('a deadline ends a call, and its outcome is unknown once the target holds it', async (t) => {
+  let closed = false
+  const pair = await httpTarget(t, (req) => { req.socket.on('close', () => { closed = true }) })
+  const res = await call(pair, 'GET', '/shop/items/1', { ...CUSTOMER, 'orioleslip-timeout-ms': '50' })
+  t.deepEqual([res.status, res.outcome], [504, 'unknown'])
+  await until(() => closed)
+})
+
+test('a key is answered from its first run, and a changed body is a conflict', async (t) => {
+  let runs = 0
+  const pair = await httpTarget(t, (_req, res) => res.writeHead(201, { 'x-run': ++runs }).end(`order ${runs}`))
+  const headers = orderHeaders()
+  const first = await call(pair, 'POST', '/shop/orders', headers, 'a')
+  const again = await call(pair, 'POST', '/shop/orders', headers, 'a')
+  t.deepEqual([again.status, again.text, again.headers['x-run']], [201, first.text, '1'])
+  t.is((await call(pair, 'POST', '/shop/orders', headers, 'b')).status, 422)
+  t.is(runs, 1)
+})
+
+// Guards against a refusal as not run while the executor still holds the order.
+test('an order whose link is cut gets the answer that its executor records', async (t) => {
+  let runs = 0
+  const pair = await httpTarget(t, (_req, res) => {
+    runs++
+    setTimeout(() => res.end('done'), 200)
+  })
+  const pending = call(pair, 'POST', '/shop/orders', orderHeaders(), '{}')
+  await until(() => runs === 1)
+  pair.cutLink()
+  const res = await pending
+  t.deepEqual([res.status, res.text, runs], [200, 'done', 1])
+})
+
+// Guards against an upload whose missing rest goes unnoticed by the target.
+test('an upload cut by its caller never looks complete to the target', async (t) => {
+  let ended = false
+  let aborted = false
+  const pair = await httpTarget(t, (req) => {
+    req.on('end', () => { ended = true })
+    req.on('close', () => { aborted = !req.complete })
+    req.resume()
+  })
+  const socket = connect(pair.callerPort, '127.0.0.1')
+  socket.write('PUT /shop/sheets/1 HTTP/1.1\r\nhost: x\r\norioleslip-customer: c\r\ncontent-length: 1000000\r\n\r\n')
+  socket.write(Buffer.alloc(200_000))
+  await until(() => pair.inFlight() === 1)
+  setTimeout(() => socket.destroy(), 50)
+  await until(() => aborted)
+  t.false(ended)
+})
+
+async function until (check: () => boolean): Promise<void> {
+  while (!check()) await new Promise((resolve) => setTimeout(resolve, 5))
+}
--- /dev/null
+++ b/packages/node/src/calls/executor.ts
@@ -0,0 +1,266 @@
+import {
+  formatTraceParent, HEADERS, notRun, unknownOutcome,
+  type CallEnd, type Clock, type Permit, type Refusal, type StoredAnswer, type TargetGate
+} from '@orioleslip/core'
+import { readAll, type ByteQueue } from '../links/byte-queue.js'
+import type { IncomingCall } from '../links/incoming-call.js'
+import type { CallReport, ResponseHead } from '../links/messages.js'
+import type { LocalTarget } from '../target/local-target.js'
+import type { TargetBody, TargetReply } from '../target/target-client.js'
+import { startDeadline, type CallDeadline } from './call-deadline.js'
+import type { InboundCall, InboundCalls } from './inbound-calls.js'
+import { BUFFERED_BODY_LIMIT_BYTES } from './request-body.js'
+import { createAnswerRecorder, STORED_ANSWER_BODY_BYTES } from '../idempotency/answer-recorder.js'
+import type { OnceGuard, OnceRun } from '../idempotency/once-guard.js'
+import { HASHED_BODY_LIMIT_BYTES, requestHashOf } from '../idempotency/request-hash.js'
+
+export type ExecutorOptions = {
+  target: LocalTarget
+  gate: TargetGate
+  inbound: InboundCalls
+  guard: OnceGuard
+  clock: Clock
+  /** A refusal for every new call while this node must not take any; undefined otherwise. */
+  closedFor: () => Refusal | undefined
+}
+
+/** Runs calls of other nodes at the target beside this one. */
+export function createExecutor (options: ExecutorOptions) {
+  const { target, gate, inbound, guard, clock } = options
+
+  const reportOf = (call: InboundCall): CallReport => {
+    const load = gate.load()
+    return { pathLevel: Math.max(load.level, call.childLevel()), regionBytes: call.childRegionBytes(), load }
+  }
+
+  const run = async (call: IncomingCall, deadline: CallDeadline, self: InboundCall): Promise<void> => {
+    const refuse = (refusal: Refusal) => call.refuse(refusal, reportOf(self))
+    const closed = options.closedFor() ?? noTarget(call, target)
+    if (closed !== undefined) return refuse(closed)
+    if (deadline.remainingMs() <= 0) return refuse(notRun('deadline-exceeded', 'the deadline had passed when the call arrived'))
+    const prepared = await prepare(call, deadline)
+    switch (prepared.kind) {
+      case 'refused': return refuse(prepared.refusal)
+      case 'replay': return replay(call, prepared.answer, reportOf(self))
+      case 'ready': return execute({ call, deadline, self, bytes: prepared.body, once: prepared.once })
+    }
+  }
+
+  const prepare = async (call: IncomingCall, deadline: CallDeadline): Promise<Prepared> => {
+    const { head } = call
+    if (head.once === undefined) return { kind: 'ready', body: undefined, once: undefined }
+    call.accept()
+    const bytes = head.bodyBytes === 0 ? new Uint8Array(0) : await readAll(call.body, HASHED_BODY_LIMIT_BYTES)
+    if (bytes === undefined) return { kind: 'refused', refusal: notRun('body-too-large', `the body exceeds ${HASHED_BODY_LIMIT_BYTES} bytes`) }
+    const begun = await guard.begin({
+      customer: head.root.customer,
+      key: head.once.key,
+      token: head.once.token,
+      opKey: head.opKey,
+      requestHash: requestHashOf(head.method, `/${head.service}${head.path}`, bytes),
+      deadlineMs: deadline.deadlineMs,
+      signal: deadline.signal
+    })
+    switch (begun.kind) {
+      case 'dispatch': return { kind: 'ready', body: bytes, once: begun.run }
+      case 'replay': return { kind: 'replay', answer: begun.answer }
+      case 'refuse': return { kind: 'refused', refusal: begun.refusal }
+    }
+  }
+
+  const execute = async ({ call, deadline, self, bytes, once }: ReadyCall): Promise<void> => {
+    const { head } = call
+    const entered = await gate.enter({
+      priority: head.root.priority,
+      opKey: head.opKey,
+      remainingMs: deadline.remainingMs(),
+      signal: deadline.signal
+    })
+    if (entered.kind === 'refused') {
+      releaseClaim(once)
+      return call.refuse(entered.refusal, reportOf(self))
+    }
+    const { permit } = entered
+    const startedMs = clock.nowMs()
+    const latencyMs = () => clock.nowMs() - startedMs
+    const current = target.current()
+    if (current === undefined || deadline.signal.aborted) {
+      permit.release({ kind: 'cancelled', latencyMs: 0 })
+      releaseClaim(once)
+      return call.refuse(notRun('deadline-exceeded', 'the call was cancelled or its deadline passed before it was sent to the target'), reportOf(self))
+    }
+    const body = await targetBody(call, bytes)
+    const reply = await current.client.run({
+      method: head.method, path: head.path, headers: targetHeaders(call, deadline, self), body, signal: deadline.signal
+    })
+    if (reply.kind === 'failed') return finishFailed({ call, deadline, self, permit, once, latencyMs, reply })
+    const end = await passAnswer({ call, self, once, reply, report: () => reportOf(self) })
+    permit.release(endOf({ end, status: reply.status, latencyMs: latencyMs(), downstreamMs: self.downstreamMs() }, deadline))
+  }
+
+  const finishFailed = ({ call, deadline, self, permit, once, latencyMs, reply }: FailedCall) => {
+    permit.release({ kind: deadline.signal.aborted ? 'cancelled' : 'failed', latencyMs: latencyMs() })
+    if (!reply.sent) releaseClaim(once)
+    const code = deadline.expired() ? 'deadline-exceeded' : 'target-lost'
+    const refusal = reply.sent ? unknownOutcome(code, reply.message) : notRun(code, reply.message, 1)
+    call.refuse(refusal, reportOf(self))
+  }
+
+  return {
+    /** Runs one call to its end; never rejects. */
+    execute: (call: IncomingCall): void => {
+      // A non-repeatable call goes on when its caller has gone: its recorded answer is what a resend gets.
+      const deadline = startDeadline(call.head.remainingMs, clock.nowMs, call.head.once === undefined ? call.signal : undefined)
+      const self = inbound.open({
+        root: call.head.root,
+        traceFlags: call.head.traceFlags,
+        deadlineMs: deadline.deadlineMs,
+        signal: deadline.signal,
+        idempotencyKey: call.head.once?.key
+      })
+      run(call, deadline, self)
+        .catch((err: unknown) => call.refuse(unknownOutcome('internal-error', `the node beside the target failed: ${String(err)}`), reportOf(self)))
+        .finally(() => {
+          deadline.done()
+          inbound.close(self)
+          // Calls that the target started for this one and did not wait for are cancelled.
+          deadline.cancel()
+        })
+    }
+  }
+}
+
+type Prepared =
+  | { kind: 'ready', body: Uint8Array | undefined, once: OnceRun | undefined }
+  | { kind: 'replay', answer: StoredAnswer }
+  | { kind: 'refused', refusal: Refusal }
+
+type ReadyCall = {
+  call: IncomingCall
+  deadline: CallDeadline
+  self: InboundCall
+  /** Body of a non-repeatable call, already read; undefined for the others. */
+  bytes: Uint8Array | undefined
+  once: OnceRun | undefined
+}
+
+type FailedCall = Omit<ReadyCall, 'bytes'> & {
+  permit: Permit
+  latencyMs: () => number
+  reply: Extract<TargetReply, { kind: 'failed' }>
+}
+
+/** The release goes on in the background; the refusal is true at once, since this executor does not dispatch any more. */
+function releaseClaim (once: OnceRun | undefined): void {
+  once?.notSent().catch(() => undefined)
+}
+
+function noTarget (call: IncomingCall, target: LocalTarget): Refusal | undefined {
+  const announced = target.current()?.announcement
+  if (announced === undefined) return notRun('no-target', 'no target has announced itself beside this node', 1)
+  if (announced.service !== call.head.service) return notRun('no-target', `the target beside this node offers "${announced.service}"`, 1)
+  return undefined
+}
+
+function replay (call: IncomingCall, answer: StoredAnswer, report: CallReport): void {
+  call.respond({ status: answer.status, headers: answer.headers })
+  call.write(answer.body)
+  call.end(report)
+}
+
+async function targetBody (call: IncomingCall, bytes: Uint8Array | undefined): Promise<TargetBody> {
+  if (bytes !== undefined) return bytes.length === 0 ? { kind: 'none' } : { kind: 'buffered', bytes }
+  const { bodyBytes } = call.head
+  if (bodyBytes === 0) return { kind: 'none' }
+  call.accept()
+  if (bodyBytes === undefined || bodyBytes > BUFFERED_BODY_LIMIT_BYTES) return { kind: 'stream', queue: call.body }
+  const whole = await readAll(call.body, BUFFERED_BODY_LIMIT_BYTES)
+  return whole === undefined ? { kind: 'none' } : { kind: 'buffered', bytes: whole }
+}
+
+function targetHeaders (call: IncomingCall, deadline: CallDeadline, self: InboundCall): string[] {
+  const headers: string[] = []
+  const own = new Set<string>([HEADERS.traceparent, HEADERS.timeoutMs, HEADERS.requestId])
+  const raw = call.head.headers
+  for (let i = 0; i + 1 < raw.length; i += 2) if (!own.has(raw[i]!)) headers.push(raw[i]!, raw[i + 1]!)
+  headers.push(HEADERS.traceparent, formatTraceParent({ traceId: self.root.traceId, spanId: self.spanId, flags: self.traceFlags }))
+  headers.push(HEADERS.timeoutMs, String(Math.max(1, Math.floor(deadline.remainingMs()))))
+  headers.push(HEADERS.requestId, self.root.requestId)
+  return headers
+}
+
+type AnswerEnd = 'complete' | 'cut'
+
+type AnswerPassage = {
+  call: IncomingCall
+  self: InboundCall
+  once: OnceRun | undefined
+  reply: Extract<TargetReply, { kind: 'head' }>
+  report: () => CallReport
+}
+
+async function passAnswer (passage: AnswerPassage): Promise<AnswerEnd> {
+  const { call, once, reply, report } = passage
+  try {
+    if (once !== undefined) {
+      await recordAnswer(passage, once)
+    } else {
+      call.respond({ status: reply.status, headers: reply.headers })
+      await pumpAnswer(call, reply.body, () => {})
+    }
+    call.end(report())
+    return 'complete'
+  } catch (err) {
+    // The target's answer broke off; the caller must not take what it has for the whole.
+    call.refuse(unknownOutcome('bad-answer', `the target's answer broke off: ${err instanceof Error ? err.message : String(err)}`), report())
+    return 'cut'
+  }
+}
+
+async function pumpAnswer (call: IncomingCall, body: Pick<ByteQueue, 'read'>, onChunk: (chunk: Uint8Array) => void): Promise<void> {
+  for (;;) {
+    const chunk = await body.read()
+    if (chunk === undefined) return
+    onChunk(chunk)
+    const wait = call.write(chunk)
+    if (wait !== undefined) await wait
+  }
+}
+
+/** Holds a small answer back until its run is recorded; a larger one is passed on and recorded without its body. */
+async function recordAnswer ({ call, reply }: AnswerPassage, once: OnceRun): Promise<void> {
+  const head: ResponseHead = { status: reply.status, headers: reply.headers }
+  const recorder = createAnswerRecorder(reply.status, reply.headers)
+  const held: Uint8Array[] = []
+  let heldBytes = 0
+  let passing = false
+  for (;;) {
+    const chunk = await reply.body.read()
+    if (chunk === undefined) break
+    recorder.add(chunk)
+    if (passing) {
+      await call.write(chunk)
+      continue
+    }
+    held.push(chunk)
+    heldBytes += chunk.length
+    if (heldBytes <= STORED_ANSWER_BODY_BYTES) continue
+    passing = true
+    call.respond(head)
+    for (const part of held) await call.write(part)
+  }
+  // Recorded before the caller has the last byte: a caller that saw the end gets the same answer when it resends.
+  await once.finished(recorder.done())
+  if (passing) return
+  call.respond(head)
+  for (const part of held) await call.write(part)
+}
+
+type TargetEnd = { end: AnswerEnd, status: number, latencyMs: number, downstreamMs: number }
+
+function endOf ({ end, status, latencyMs, downstreamMs }: TargetEnd, deadline: CallDeadline): CallEnd {
+  if (deadline.signal.aborted) return { kind: 'cancelled', latencyMs }
+  if (end === 'cut') return { kind: 'failed', latencyMs }
+  if (status === 503 || status === 429) return { kind: 'targetShed', latencyMs }
+  return { kind: 'answered', latencyMs, downstreamMs }
+}
--- /dev/null
+++ b/packages/node/src/calls/inbound-calls.test.ts
@@ -0,0 +1,47 @@
+import test from 'ava'
+import { createInboundCalls } from './inbound-calls.js'
+
+const facts = (traceId: string) => ({
+  root: { requestId: 'r', traceId, customer: 'c', entryOpKey: '', priority: 0, ledger: { host: '', port: 0 }, region: '' },
+  traceFlags: '00',
+  deadlineMs: 0,
+  signal: new AbortController().signal,
+  idempotencyKey: undefined
+})
+
+// Guards against a target's call being counted to another request.
+test('a span leads to its own call and a closed span to none', (t) => {
+  const calls = createInboundCalls(() => 0)
+  const [a, b] = [calls.open(facts('t1')), calls.open(facts('t1'))]
+  t.deepEqual(calls.bySpan('t1', a.spanId), { kind: 'open', call: a })
+  t.is(calls.bySpan('t2', a.spanId).kind, 'unknown')
+  calls.close(a)
+  t.is(calls.bySpan('t1', a.spanId).kind, 'closed')
+  t.deepEqual(calls.byTrace('t1'), { kind: 'open', call: b })
+  calls.close(b)
+  t.is(calls.byTrace('t1').kind, 'unknown')
+  t.is(calls.size(), 0)
+})
+
+test('reports of child calls add up', (t) => {
+  const call = createInboundCalls(() => 0).open(facts('t'))
+  call.addChild({ pathLevel: 5, regionBytes: 100 })
+  call.addChild({ pathLevel: 3, regionBytes: 50 })
+  t.deepEqual([call.childLevel(), call.childRegionBytes()], [5, 150])
+})
+
+// Guards against counting the overlap of parallel calls twice, which would make the target's own work look negative.
+test('time spent downstream is the union of the open child calls', (t) => {
+  let now = 0
+  const call = createInboundCalls(() => now).open(facts('t'))
+  const endFirst = call.childStarted()
+  now = 10
+  const endSecond = call.childStarted()
+  now = 20
+  endFirst()
+  now = 30
+  t.is(call.downstreamMs(), 30)
+  endSecond()
+  now = 40
+  t.is(call.downstreamMs(), 30)
+})
--- /dev/null
+++ b/packages/node/src/calls/inbound-calls.ts
@@ -0,0 +1,100 @@
+import { newSpanId, type RootContext } from '@orioleslip/core'
+import type { CallReport } from '../links/messages.js'
+
+/** A call that the target beside this node is working on; the target's own calls belong to it. */
+export type InboundCall = {
+  root: RootContext
+  /** Span that the target sees as its parent. */
+  spanId: string
+  traceFlags: string
+  /** Monotonic time of the deadline, in ms. */
+  deadlineMs: number
+  /** Aborts when the caller has gone or the deadline has passed. */
+  signal: AbortSignal
+  /** Idempotency key of the call, if it has one. */
+  idempotencyKey: string | undefined
+  /** Adds the report of a call that the target made on behalf of this one. */
+  addChild: (report: Pick<CallReport, 'pathLevel' | 'regionBytes'>) => void
+  /** Tells that a call of the target began; the result tells that it ended. */
+  childStarted: () => () => void
+  /** Time during which at least one call of the target was open, in ms. */
+  downstreamMs: () => number
+  childLevel: () => number
+  childRegionBytes: () => number
+}
+
+/** What a `traceparent` of the target refers to. */
+export type InboundLookup = { kind: 'open', call: InboundCall } | { kind: 'closed' } | { kind: 'unknown' }
+
+export type InboundCalls = {
+  open: (call: Pick<InboundCall, 'root' | 'traceFlags' | 'deadlineMs' | 'signal' | 'idempotencyKey'>) => InboundCall
+  close: (call: InboundCall) => void
+  bySpan: (traceId: string, spanId: string) => InboundLookup
+  /** Newest open call of the trace, for targets whose tracing library starts spans of its own. */
+  byTrace: (traceId: string) => InboundLookup
+  size: () => number
+}
+
+/** Closed spans that are remembered, so that late calls of a target are recognised and refused. */
+const CLOSED_SPANS_LIMIT = 4096
+
+/** Creates the registry of calls in flight at the target. */
+export function createInboundCalls (nowMs: () => number): InboundCalls {
+  const bySpan = new Map<string, InboundCall>()
+  const byTrace = new Map<string, InboundCall[]>()
+  const closed = new Set<string>()
+
+  const removeFromTrace = (call: InboundCall) => {
+    const siblings = byTrace.get(call.root.traceId)?.filter((other) => other !== call) ?? []
+    if (siblings.length === 0) byTrace.delete(call.root.traceId)
+    else byTrace.set(call.root.traceId, siblings)
+  }
+  return {
+    open: (facts) => {
+      let level = 0
+      let regionBytes = 0
+      let openChildren = 0
+      let openedMs = 0
+      let waitedMs = 0
+      const call: InboundCall = {
+        ...facts,
+        spanId: newSpanId(),
+        addChild: (report) => {
+          level = Math.max(level, report.pathLevel)
+          regionBytes += report.regionBytes
+        },
+        childStarted: () => {
+          if (openChildren++ === 0) openedMs = nowMs()
+          return () => { if (--openChildren === 0) waitedMs += nowMs() - openedMs }
+        },
+        downstreamMs: () => waitedMs + (openChildren > 0 ? nowMs() - openedMs : 0),
+        childLevel: () => level,
+        childRegionBytes: () => regionBytes
+      }
+      bySpan.set(call.spanId, call)
+      const siblings = byTrace.get(call.root.traceId)
+      if (siblings === undefined) byTrace.set(call.root.traceId, [call])
+      else siblings.push(call)
+      return call
+    },
+    close: (call) => {
+      if (!bySpan.delete(call.spanId)) return
+      removeFromTrace(call)
+      closed.add(call.spanId)
+      if (closed.size > CLOSED_SPANS_LIMIT) {
+        const oldest = closed.values().next()
+        if (oldest.done !== true) closed.delete(oldest.value)
+      }
+    },
+    bySpan: (traceId, spanId) => {
+      const call = bySpan.get(spanId)
+      if (call !== undefined && call.root.traceId === traceId) return { kind: 'open', call }
+      return closed.has(spanId) ? { kind: 'closed' } : { kind: 'unknown' }
+    },
+    byTrace: (traceId) => {
+      const call = byTrace.get(traceId)?.at(-1)
+      return call === undefined ? { kind: 'unknown' } : { kind: 'open', call }
+    },
+    size: () => bySpan.size
+  }
+}
--- a/packages/node/src/links/dial.ts
+++ b/packages/node/src/links/dial.ts
@@ -30,7 +30,9 @@
 }
 
 /** Connects to the peer listener of another node and proves the fleet key. */
-export async function dialPeer (address: PeerAddress, identity: LinkIdentity, handlers: ConnectionHandlers): Promise<Result<PeerConnection, DialError>> {
+export async function dialPeer (
+  address: PeerAddress, identity: LinkIdentity, handlers: ConnectionHandlers
+): Promise<Result<PeerConnection, DialError>> {
   const connected = await connectSocket(address)
   if (connected.isErr()) return err(connected.error)
   const socket = connected.value
--- a/packages/node/src/links/links.test.ts
+++ b/packages/node/src/links/links.test.ts
@@ -53,6 +53,10 @@
   return { address, listener, pool, rejected, dial: async () => await pool.get(address) }
 }
 
+async function until (check: () => boolean): Promise<void> {
+  while (!check()) await new Promise((resolve) => setTimeout(resolve, 5))
+}
+
 async function openConnection (pair: Awaited<ReturnType<typeof connectedPair>>) {
   const found = await pair.dial()
   return 'openCall' in found ? found : found._unsafeUnwrap()
@@ -89,8 +93,8 @@
   for (let i = 0; i < 100 && blocked === undefined; i++) blocked = call.write(chunk)
   t.truthy(blocked)
   t.true(call.bytes().sent <= STREAM_WINDOW_BYTES + chunk.length)
-  while (incoming === undefined || incoming.body.size() < STREAM_WINDOW_BYTES) await new Promise((resolve) => setTimeout(resolve, 5))
-  for (let i = 0; i < 4; i++) await incoming.body.read()
+  await until(() => incoming !== undefined && incoming.body.size() >= STREAM_WINDOW_BYTES)
+  for (let i = 0; i < 4; i++) await incoming!.body.read()
   await blocked
   t.pass()
 })
@@ -116,10 +120,10 @@
   const pair = await connectedPair(t, (call) => { incoming = call })
   const connection = await openConnection(pair)
   const call = connection.openCall(head())
-  while (incoming === undefined) await new Promise((resolve) => setTimeout(resolve, 5))
+  await until(() => incoming !== undefined)
   call.cancel()
   t.is((await call.reply).kind, 'cancelled')
-  if (!incoming.signal.aborted) await once(incoming.signal, 'abort')
+  if (!incoming!.signal.aborted) await once(incoming!.signal, 'abort')
   await t.throwsAsync(() => incoming!.body.read())
   t.is(pair.listener.openCalls(), 0)
 })
--- a/packages/node/src/links/send-window.ts
+++ b/packages/node/src/links/send-window.ts
@@ -12,9 +12,10 @@
   let available = windowBytes
   let closed = false
   let waiting: Array<() => void> = []
+  const blocked = () => available <= 0 && !closed
   const waitForCredit = () => new Promise<void>((resolve) => { waiting.push(resolve) })
   const writeLater = async (chunk: Uint8Array) => {
-    while (available <= 0 && !closed) await waitForCredit()
+    while (blocked()) await waitForCredit()
     if (closed) return
     available -= chunk.length
     send(chunk)
--- /dev/null
+++ b/packages/node/src/server/caller-server.ts
@@ -0,0 +1,50 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { WELL_KNOWN_PREFIX, type PeerAddress } from '@orioleslip/core'
+
+export type RequestListener = (req: IncomingMessage, res: ServerResponse) => Promise<void>
+
+export type CallerServer = {
+  /** Stops accepting connections; resolves when the open requests have ended. */
+  drain: () => Promise<void>
+  /** Closes every connection at once. */
+  abort: () => void
+}
+
+/** Idle connections are kept longer than most clients keep theirs, so that the client closes first. */
+const KEEP_ALIVE_MS = 65_000
+const HEADERS_TIMEOUT_MS = 10_000
+
+/** Serves callers and the local target; rejects when the port can't be opened. */
+export async function startCallerServer (
+  address: PeerAddress, onCall: RequestListener, onWellKnown: RequestListener
+): Promise<CallerServer> {
+  const listener = (req: IncomingMessage, res: ServerResponse) => {
+    const handle = req.url?.startsWith(WELL_KNOWN_PREFIX) === true ? onWellKnown : onCall
+    handle(req, res).catch(() => res.destroy())
+  }
+  const server = createServer({
+    keepAliveTimeout: KEEP_ALIVE_MS,
+    headersTimeout: HEADERS_TIMEOUT_MS,
+    // Uploads may take longer than the default limit; the deadline of the call bounds them.
+    requestTimeout: 0,
+    noDelay: true
+  }, listener)
+  await listen(server, address)
+  return {
+    drain: () => new Promise((resolve) => {
+      server.close(() => resolve())
+      server.closeIdleConnections()
+    }),
+    abort: () => server.closeAllConnections()
+  }
+}
+
+function listen (server: Server, { host, port }: PeerAddress): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject)
+    server.listen({ host, port }, () => {
+      server.removeListener('error', reject)
+      resolve()
+    })
+  })
+}
--- /dev/null
+++ b/packages/node/src/server/well-known.ts
@@ -0,0 +1,43 @@
+import type { IncomingMessage } from 'node:http'
+import { getRequestListener } from '@hono/node-server'
+import { WELL_KNOWN_PREFIX, type Member } from '@orioleslip/core'
+import { Hono } from 'hono'
+import type { DecisionRecords } from '../calls/decision-records.js'
+import type { StatsSnapshot } from '../calls/node-stats.js'
+import { announcementSchema, type Announcement } from '../target/local-target.js'
+import type { RequestListener } from './caller-server.js'
+
+export type WellKnownOptions = {
+  announce: (announcement: Announcement) => void
+  records: DecisionRecords
+  members: () => Member[]
+  stats: () => StatsSnapshot
+  /** Facts about this node for operators and tools. */
+  state: () => Record<string, unknown>
+}
+
+/** Endpoints of the node itself: announcements of the target, decision records, members and counters. */
+export function createWellKnown (options: WellKnownOptions): RequestListener {
+  const app = new Hono<{ Bindings: { incoming: IncomingMessage } }>().basePath(WELL_KNOWN_PREFIX.slice(0, -1))
+  app.put('/target', async (c) => {
+    // Only the process beside this node may announce; it shares the VM's address.
+    const { remoteAddress, localAddress } = c.env.incoming.socket
+    if (remoteAddress !== localAddress) return c.json({ error: `announcements are accepted from this VM only, not from ${remoteAddress}` }, 403)
+    const parsed = announcementSchema.safeParse(await c.req.json().catch(() => undefined))
+    if (!parsed.success) {
+      const issues = parsed.error.issues.map((issue) => `${issue.path.join('.') || 'body'}: ${issue.message}`)
+      return c.json({ error: `malformed announcement: ${issues.join('; ')}` }, 400)
+    }
+    options.announce(parsed.data)
+    return c.json({ accepted: true })
+  })
+  app.get('/explain/:requestId', (c) => {
+    const records = options.records.find(c.req.param('requestId'))
+    return records.length === 0 ? c.json({ error: 'no record of this request on this node' }, 404) : c.json({ records })
+  })
+  app.get('/members', (c) => c.json({ members: options.members() }))
+  app.get('/stats', (c) => c.json(options.stats()))
+  app.get('/state', (c) => c.json(options.state()))
+  const listener = getRequestListener(app.fetch)
+  return async (req, res) => { await listener(req, res) }
+}
--- /dev/null
+++ b/packages/node/src/testing/node-pair.ts
@@ -0,0 +1,151 @@
+import { once } from 'node:events'
+import { createServer, type AddressInfo, type Server } from 'node:net'
+import {
+  createListsIndex, listsSchema, systemClock, systemRandom, type Lists, type MemberRecord, type RouteChoice
+} from '@orioleslip/core'
+import { createEntryAdmission } from '../admission/entry-admission.js'
+import { createTargetGate } from '../admission/target-gate.js'
+import { createCallHandler } from '../calls/call-handler.js'
+import { createDecisionRecords } from '../calls/decision-records.js'
+import { createExecutor } from '../calls/executor.js'
+import { createForwarder } from '../calls/forwarder.js'
+import { createInboundCalls } from '../calls/inbound-calls.js'
+import { createNodeStats } from '../calls/node-stats.js'
+import { resolveLostCall } from '../idempotency/lost-call.js'
+import { createOnceGuard } from '../idempotency/once-guard.js'
+import { createLatencies } from '../limits/latencies.js'
+import { listenForPeers } from '../links/listener.js'
+import { createPeerPool } from '../links/pool.js'
+import { createRetryLedger } from '../retries/retry-ledger.js'
+import { createInterRegionBudget } from '../routing/inter-region-budget.js'
+import { startCallerServer } from '../server/caller-server.js'
+import { createLocalTarget } from '../target/local-target.js'
+import { createFakeRegister } from './fake-register.js'
+
+const HOST = '127.0.0.1'
+const IDENTITY_KEY = 'a-fleet-key-for-tests'
+
+/** A port that was free a moment ago. */
+export async function unusedPort (): Promise<number> {
+  const server: Server = createServer().listen(0, HOST)
+  await once(server, 'listening')
+  const { port } = server.address() as AddressInfo
+  server.close()
+  await once(server, 'close')
+  return port
+}
+
+/** Lists of the pair: one repeatable read, one repeatable upload and one non-repeatable claim of the service "shop". */
+export function pairLists (): Lists {
+  return listsSchema.parse({
+    customers: { c: 'p' },
+    plans: {
+      p: {
+        ratePerSecond: 10_000,
+        burst: 10_000,
+        operations: [
+          { service: 'shop', method: 'GET', path: '/items/:id', importance: 'browse', repeatable: true },
+          { service: 'shop', method: 'PUT', path: '/sheets/:id', importance: 'upload', repeatable: true },
+          { service: 'shop', method: 'POST', path: '/orders', importance: 'claim', repeatable: false }
+        ]
+      }
+    }
+  })
+}
+
+export type PairOptions = {
+  targetPort: number
+  retryAllowance?: number
+  /** Region of the executor; the entry is in "r1". */
+  executorRegion?: string
+  lists?: Lists
+}
+
+/** An entry node and an executor node in this process, joined by a real peer link; membership, lists and register are fakes. */
+export async function startNodePair (options: PairOptions) {
+  const clock = systemClock
+  const member = (vmId: string, region: string, peerPort: number): MemberRecord => ({
+    vmId, incarnation: 1, version: 1, role: 'node', host: HOST, peerPort, callerPort: 0, gossipPort: 0, region, failureDomain: region
+  })
+  const entry = member('entry', 'r1', 1)
+  const executorMember = member('executor', options.executorRegion ?? 'r1', await unusedPort())
+  const register = createFakeRegister()
+
+  const gate = createTargetGate({ clock })
+  const target = createLocalTarget(HOST)
+  target.onStarted(gate.targetStarted)
+  target.announce({ service: 'shop', port: options.targetPort, capacity: 10, state: 'ready', instance: 'i' })
+  const executorInbound = createInboundCalls(clock.nowMs)
+  const executor = createExecutor({
+    target,
+    gate,
+    inbound: executorInbound,
+    guard: createOnceGuard({ register, clock, log: { warn: () => {} }, vmId: 'executor' }),
+    clock,
+    closedFor: () => undefined
+  })
+  const listener = await listenForPeers({
+    address: { host: HOST, port: executorMember.peerPort },
+    identity: { fleetKey: IDENTITY_KEY, vmId: 'executor' },
+    handlers: { onCall: executor.execute, onAsk: () => undefined },
+    onRejected: () => {}
+  })
+
+  const ledger = createRetryLedger({ clock, retryAllowance: options.retryAllowance ?? 0 })
+  const pool = createPeerPool({ fleetKey: IDENTITY_KEY, vmId: 'entry' }, () => undefined)
+  const stats = createNodeStats(undefined)
+  const records = createDecisionRecords(100)
+  let picks = 0
+  const pick = (): RouteChoice => {
+    picks++
+    return { kind: 'route', member: executorMember, crossesRegion: executorMember.region !== entry.region }
+  }
+  const forwarder = createForwarder({
+    self: () => entry,
+    router: { pick, learn: () => {}, sent: () => {}, settled: () => {} },
+    pool,
+    askRetry: async (ctx) => ledger.take(ctx.requestId),
+    regionBudget: createInterRegionBudget({ clock, share: () => 1 }),
+    latencies: createLatencies(clock),
+    clock,
+    onRetry: stats.retried,
+    runLocally: () => { throw new Error('the entry has no target') }
+  })
+  const index = createListsIndex({ revision: 1, lists: options.lists ?? pairLists() })
+  const handler = createCallHandler({
+    self: () => entry,
+    lists: () => index,
+    closed: () => undefined,
+    admission: createEntryAdmission({ clock, random: systemRandom }),
+    quotas: { take: () => ({ kind: 'granted' }), answer: () => ({ tokens: 0, validMs: 0 }) },
+    ledger,
+    inbound: createInboundCalls(clock.nowMs),
+    forwarder,
+    resolveLost: (call) => resolveLostCall({ register, clock }, call),
+    records,
+    stats,
+    clock,
+    stopping: () => false
+  })
+  const callerPort = await unusedPort()
+  const server = await startCallerServer({ host: HOST, port: callerPort }, handler.handle, async (_req, res) => { res.end() })
+  return {
+    url: `http://${HOST}:${callerPort}`,
+    callerPort,
+    /** Cuts the link between the two nodes; the next call opens a new one. */
+    cutLink: () => pool.close(),
+    stopExecutor: () => listener.close(),
+    inFlight: () => executorInbound.size(),
+    picks: () => picks,
+    stats: stats.snapshot,
+    records,
+    register,
+    stop: async () => {
+      server.abort()
+      pool.close()
+      await Promise.all([server.drain(), listener.close()])
+    }
+  }
+}
+
+export type NodePair = Awaited<ReturnType<typeof startNodePair>>
