--- /dev/null
+++ b/packages/lab/src/fleet/child.ts
@@ -0,0 +1,37 @@
+import { spawn, type ChildProcess } from 'node:child_process'
+import { openSync } from 'node:fs'
+
+/** A process of the fleet that this tool started. */
+export type FleetProcess = {
+  name: string
+  pid: number
+  /** Exit code, or the signal that ended it; undefined while it runs. */
+  exited: () => number | NodeJS.Signals | undefined
+  signal: (signal: NodeJS.Signals) => void
+  /** Sends the signal and waits for the end. */
+  stop: (signal?: NodeJS.Signals) => Promise<number | NodeJS.Signals>
+}
+
+/** Starts a Node.js program; its output goes to `logFile`. */
+export function startProcess (name: string, script: string, args: string[], logFile: string): FleetProcess {
+  const log = openSync(logFile, 'a')
+  const child: ChildProcess = spawn(process.execPath, ['--max-old-space-size=256', script, ...args], { stdio: ['ignore', log, log] })
+  let result: number | NodeJS.Signals | undefined
+  const exit = new Promise<number | NodeJS.Signals>((resolve) => {
+    child.once('exit', (code, signal) => {
+      result = code ?? signal ?? 'SIGKILL'
+      resolve(result)
+    })
+  })
+  const signal = (sig: NodeJS.Signals) => { if (result === undefined) child.kill(sig) }
+  return {
+    name,
+    pid: child.pid ?? -1,
+    exited: () => result,
+    signal,
+    stop: async (sig = 'SIGTERM') => {
+      signal(sig)
+      return exit
+    }
+  }
+}
--- /dev/null
+++ b/packages/lab/src/fleet/fleet.ts
@@ -0,0 +1,207 @@
+import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import type { Lists, Member, NodeSettings } from '@orioleslip/core'
+import type { StatsSnapshot } from '@orioleslip/node'
+import { stringify } from 'smol-toml'
+import { request } from 'undici'
+import type { TargetCounts, TargetSpec } from '../target/stand-in-target.js'
+import { startProcess, type FleetProcess } from './child.js'
+import { runOperatorCommand } from './operator.js'
+import { freePort } from './ports.js'
+import { HOST, writeControlSettings, writeNodeSettings, type ControlVm, type TargetVm } from './settings-files.js'
+
+/** One VM of an experiment before ports are chosen. `target` is absent on VMs that only let callers in. */
+export type VmSpec = {
+  vmId: string
+  region: string
+  failureDomain: string
+  target?: Omit<TargetSpec, 'port' | 'nodePort'>
+  node?: Partial<NodeSettings>
+}
+
+export type FleetSpec = {
+  controls: Array<{ vmId: string, region: string, failureDomain: string }>
+  vms: VmSpec[]
+  lists: Lists
+}
+
+/** A VM of a running fleet. */
+export type FleetVm = {
+  spec: VmSpec
+  vm: TargetVm
+  url: string
+  node: FleetProcess
+  target: FleetProcess | undefined
+  /** Starts the node again after it ended. */
+  restartNode: () => Promise<void>
+  restartTarget: () => Promise<void>
+  /** Changes the stand-in target's behaviour. */
+  control: (change: Record<string, unknown>) => Promise<void>
+  counts: () => Promise<TargetCounts>
+  stats: () => Promise<StatsSnapshot>
+  members: () => Promise<Member[]>
+}
+
+export type FleetControl = { vm: ControlVm, process: FleetProcess, dataDir: string, restart: () => Promise<void> }
+
+export type Fleet = {
+  folder: string
+  controls: FleetControl[]
+  vms: FleetVm[]
+  ofService: (service: string) => FleetVm[]
+  operator: (args: string[]) => Promise<{ code: number, stdout: string, stderr: string }>
+  setLists: (lists: Lists) => Promise<void>
+  stop: () => Promise<void>
+}
+
+const DAEMON = fileURLToPath(import.meta.resolve('@orioleslip/daemon/main'))
+const TARGET = fileURLToPath(new URL('../target/main.js', import.meta.url))
+const READY_TIMEOUT_MS = 30_000
+const POLL_MS = 100
+
+/** Fetches JSON from a loopback URL. */
+export async function getJson<T> (url: string): Promise<T> {
+  const res = await request(url, { headersTimeout: 2000 })
+  if (res.statusCode !== 200) throw new Error(`${url} answered ${res.statusCode}: ${await res.body.text()}`)
+  return await res.body.json() as T
+}
+
+/** Waits until `check` gives true; an exception counts as false. */
+export async function waitUntil (what: string, check: () => Promise<boolean>, timeoutMs = READY_TIMEOUT_MS): Promise<void> {
+  const endMs = performance.now() + timeoutMs
+  let last: unknown
+  for (;;) {
+    try {
+      if (await check()) return
+    } catch (err) {
+      last = err
+    }
+    if (performance.now() > endMs) throw new Error(`timed out while waiting until ${what}${last === undefined ? '' : `: ${String(last)}`}`)
+    await new Promise((resolve) => setTimeout(resolve, POLL_MS))
+  }
+}
+
+/** Starts control VMs, nodes and stand-in targets as processes, loads the lists and waits until every node is ready. */
+export async function startFleet (spec: FleetSpec): Promise<Fleet> {
+  const folder = mkdtempSync(join(tmpdir(), 'orioleslip-'))
+  const controlVms: ControlVm[] = []
+  for (const control of spec.controls) {
+    controlVms.push({ ...control, address: HOST, apiPort: await freePort(), gossipPort: await freePort() })
+  }
+  const controls = controlVms.map((vm) => startControl(folder, controlVms, vm))
+  const operator = (args: string[]) => runOperatorCommand(controlVms, args)
+  const vms: FleetVm[] = []
+  const fleet: Fleet = {
+    folder,
+    controls,
+    vms,
+    ofService: (service) => vms.filter((vm) => vm.spec.target?.service === service),
+    operator,
+    setLists: (lists) => loadLists(folder, operator, lists),
+    stop: async () => {
+      await Promise.all(vms.flatMap((vm) => [vm.node.stop('SIGKILL'), vm.target?.stop('SIGKILL')]))
+      await Promise.all(controls.map((control) => control.process.stop('SIGKILL')))
+      rmSync(folder, { recursive: true, force: true })
+    }
+  }
+  try {
+    await waitUntil('the control VMs accept the first configuration', async () => {
+      const init = await operator(['cluster', 'init'])
+      if (init.code !== 0) throw new Error(init.stderr)
+      return true
+    })
+    await fleet.setLists(spec.lists)
+    for (const vm of spec.vms) vms.push(await startVm(folder, controlVms, vm))
+    await Promise.all(vms.map((vm) => waitForNode(vm, spec)))
+    return fleet
+  } catch (err) {
+    await fleet.stop()
+    throw err
+  }
+}
+
+function startControl (folder: string, all: ControlVm[], vm: ControlVm): FleetControl {
+  const file = writeControlSettings(folder, all, vm)
+  const start = () => startProcess(vm.vmId, DAEMON, ['--config', file], join(folder, `${vm.vmId}.log`))
+  const control: FleetControl = {
+    vm,
+    process: start(),
+    dataDir: join(folder, `${vm.vmId}-data`),
+    restart: async () => {
+      await control.process.stop('SIGKILL')
+      control.process = start()
+    }
+  }
+  return control
+}
+
+async function startVm (folder: string, controls: ControlVm[], spec: VmSpec): Promise<FleetVm> {
+  const { vmId, region, failureDomain } = spec
+  const vm: TargetVm = {
+    vmId,
+    region,
+    failureDomain,
+    callerPort: await freePort(),
+    peerPort: await freePort(),
+    gossipPort: await freePort(),
+    targetPort: await freePort()
+  }
+  const file = writeNodeSettings(folder, controls, vm, spec.node)
+  const startNode = () => startProcess(vmId, DAEMON, ['--config', file], join(folder, `${vmId}.log`))
+  const startTarget = () => spec.target === undefined
+    ? undefined
+    : startProcess(`${vmId}-target`, TARGET, [targetArgument(spec.target, vm)], join(folder, `${vmId}-target.log`))
+  const url = `http://${HOST}:${vm.callerPort}`
+  const targetUrl = `http://${HOST}:${vm.targetPort}`
+  const running: FleetVm = {
+    spec,
+    vm,
+    url,
+    node: startNode(),
+    target: startTarget(),
+    restartNode: async () => {
+      await running.node.stop('SIGKILL')
+      running.node = startNode()
+    },
+    restartTarget: async () => {
+      await running.target?.stop('SIGKILL')
+      running.target = startTarget()
+    },
+    control: async (change) => {
+      const res = await request(`${targetUrl}/_control`, { method: 'POST', body: JSON.stringify(change) })
+      await res.body.dump()
+    },
+    counts: () => getJson(`${targetUrl}/_counts`),
+    stats: () => getJson(`${url}/.well-known/orioleslip/stats`),
+    members: async () => (await getJson<{ members: Member[] }>(`${url}/.well-known/orioleslip/members`)).members
+  }
+  return running
+}
+
+function targetArgument (target: NonNullable<VmSpec['target']>, vm: TargetVm): string {
+  return JSON.stringify([{ ...target, port: vm.targetPort, nodePort: vm.callerPort }])
+}
+
+/** A node is ready when its lists are confirmed and it knows a ready target on every VM that has one. */
+async function waitForNode (vm: FleetVm, spec: FleetSpec): Promise<void> {
+  const expected = spec.vms.filter((other) => other.target !== undefined).length
+  await waitUntil(`${vm.vm.vmId} is ready`, async () => {
+    const state = await getJson<{ listsConfirmed: boolean }>(`${vm.url}/.well-known/orioleslip/state`)
+    const ready = (await vm.members()).filter((member) => member.record.target?.state === 'ready' && member.liveness === 'alive')
+    return state.listsConfirmed && ready.length === expected
+  })
+}
+
+async function loadLists (folder: string, operator: Fleet['operator'], lists: Lists): Promise<void> {
+  const dir = join(folder, 'lists')
+  mkdirSync(dir, { recursive: true })
+  writeFileSync(join(dir, 'customers.toml'), stringify({ customers: lists.customers }))
+  writeFileSync(join(dir, 'plans.toml'), stringify({ plans: lists.plans }))
+  await waitUntil('the lists are accepted', async () => {
+    const edit = await operator(['lists', 'edit', '--customers', join(dir, 'customers.toml'), '--plans', join(dir, 'plans.toml')])
+    if (edit.code !== 0) throw new Error(edit.stderr)
+    return true
+  })
+}
--- /dev/null
+++ b/packages/lab/src/target/stand-in-target.ts
@@ -0,0 +1,237 @@
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
+import { createHash, randomUUID } from 'node:crypto'
+import { HEADERS, WELL_KNOWN_PREFIX } from '@orioleslip/core'
+import { Agent, request, type Dispatcher } from 'undici'
+import { z } from 'zod'
+
+/** A call that a stand-in target makes to another service while it works on an operation. */
+export const downstreamSchema = z.strictObject({
+  service: z.string(),
+  method: z.enum(['GET', 'POST']).default('GET'),
+  path: z.string(),
+  /** Calls of the same stage run side by side; stages run one after the other. */
+  stage: z.number().int().default(0)
+})
+
+type DownstreamCall = z.infer<typeof downstreamSchema>
+
+/** Behaviour of a stand-in target. */
+export const targetSpecSchema = z.strictObject({
+  service: z.string(),
+  port: z.number().int(),
+  /** Caller port of the node beside it. */
+  nodePort: z.number().int(),
+  host: z.string().default('127.0.0.1'),
+  /** Requests that it works on at once; more wait inside it. */
+  slots: z.number().int().min(1).default(10),
+  /** Requests that wait for a slot before it sheds with 503. */
+  queue: z.number().int().min(0).default(1000),
+  /** Capacity that it announces; the number of slots unless it misleads. */
+  announcedCapacity: z.number().int().min(1).optional(),
+  /** Time of its own work for one request, in ms. */
+  workMs: z.number().min(0).default(5),
+  coldStartMs: z.number().min(0).default(0),
+  /** Bytes of filler in each answer. */
+  answerBytes: z.number().int().min(0).default(0),
+  /** Downstream calls by method and first path segment, for example `GET /shifts`. */
+  downstream: z.record(z.string(), z.array(downstreamSchema)).default({})
+})
+export type TargetSpec = z.input<typeof targetSpecSchema>
+
+/** Behaviour that can be changed while the target runs, by `POST /_control`. */
+const controlSchema = z.strictObject({
+  workFactor: z.number().positive().optional(),
+  failing: z.boolean().optional(),
+  announce: z.boolean().optional(),
+  state: z.enum(['starting', 'ready', 'leaving']).optional()
+})
+
+/** What a target counted, by `GET /_counts`. */
+export type TargetCounts = {
+  service: string
+  started: number
+  finished: number
+  cancelled: number
+  shed: number
+  /** Slot time of all started requests, in ms. */
+  busyMs: number
+  /** Slot time of requests that were cancelled or failed, in ms. */
+  wastedMs: number
+  /** Times that the operation ran, by idempotency key. */
+  runsByKey: Record<string, number>
+}
+
+export type StandInTarget = { counts: () => TargetCounts, close: () => Promise<void> }
+
+const ANNOUNCE_INTERVAL_MS = 1000
+
+/** Starts a stand-in target: an HTTP server with slots, work time and downstream calls through the node beside it. */
+export async function startStandInTarget (input: TargetSpec): Promise<StandInTarget> {
+  const spec = targetSpecSchema.parse(input)
+  const agent = new Agent({ connections: 256, pipelining: 1, keepAliveTimeout: 30_000 })
+  const instance = randomUUID()
+  const counts: TargetCounts = {
+    service: spec.service, started: 0, finished: 0, cancelled: 0, shed: 0, busyMs: 0, wastedMs: 0, runsByKey: {}
+  }
+  const behaviour = { workFactor: 1, failing: false, announce: true, state: spec.coldStartMs > 0 ? 'starting' : 'ready' }
+  const nodeUrl = `http://${spec.host}:${spec.nodePort}`
+  const filler = 'x'.repeat(spec.answerBytes)
+  let busy = 0
+  const waiting: Array<() => void> = []
+
+  const takeSlot = async (): Promise<boolean> => {
+    if (busy < spec.slots) {
+      busy++
+      return true
+    }
+    if (waiting.length >= spec.queue) return false
+    await new Promise<void>((resolve) => waiting.push(resolve))
+    return true
+  }
+  // A freed slot passes straight to the next waiter, so `busy` stays as it is.
+  const freeSlot = () => {
+    const next = waiting.shift()
+    if (next === undefined) busy--
+    else next()
+  }
+
+  const callDownstream = async (req: IncomingMessage, call: DownstreamCall, signal: AbortSignal): Promise<unknown> => {
+    const headers: Record<string, string> = { [HEADERS.traceparent]: String(req.headers[HEADERS.traceparent] ?? '') }
+    const key = req.headers[HEADERS.idempotencyKey]
+    if (typeof key === 'string') headers[HEADERS.idempotencyKey] = `${key}/${call.service}`
+    const res = await request(`${nodeUrl}/${call.service}${call.path}`, { method: call.method, headers, dispatcher: agent, signal })
+    const body = await res.body.json()
+    if (res.statusCode >= 400) throw new DownstreamError(call.service, res)
+    return body
+  }
+
+  const runStages = async (req: IncomingMessage, calls: DownstreamCall[], signal: AbortSignal): Promise<unknown[]> => {
+    const results: unknown[] = []
+    for (const stage of [...new Set(calls.map((call) => call.stage))].sort((a, b) => a - b)) {
+      const side = calls.filter((call) => call.stage === stage)
+      results.push(...await Promise.all(side.map((call) => callDownstream(req, call, signal))))
+    }
+    return results
+  }
+
+  const work = async (req: IncomingMessage, res: ServerResponse, bodySha256: string, bodyBytes: number) => {
+    const gone = new AbortController()
+    res.on('close', () => { if (!res.writableFinished) gone.abort() })
+    if (!(await takeSlot())) {
+      counts.shed++
+      return answer(res, 503, { error: 'no slot' })
+    }
+    const startedMs = performance.now()
+    try {
+      if (gone.signal.aborted) {
+        counts.cancelled++
+        return
+      }
+      counts.started++
+      const key = req.headers[HEADERS.idempotencyKey]
+      if (typeof key === 'string') counts.runsByKey[key] = (counts.runsByKey[key] ?? 0) + 1
+      await sleep(spec.workMs * behaviour.workFactor, gone.signal)
+      const segment = `/${(req.url ?? '').split(/[/?]/)[1] ?? ''}`
+      const downstream = await runStages(req, spec.downstream[`${req.method} ${segment}`] ?? [], gone.signal)
+      if (gone.signal.aborted) throw new Error('the caller has gone')
+      if (behaviour.failing) return answer(res, 500, { error: 'failing as configured' })
+      counts.finished++
+      const requestId = req.headers[HEADERS.requestId]
+      answer(res, 200, { service: spec.service, requestId, path: req.url, bodySha256, bodyBytes, downstream, filler })
+    } catch (err) {
+      if (gone.signal.aborted) counts.cancelled++
+      counts.wastedMs += performance.now() - startedMs
+      if (err instanceof DownstreamError) answer(res, err.status, { error: err.message }, err.retryAfter)
+      else answer(res, 502, { error: String(err) })
+    } finally {
+      counts.busyMs += performance.now() - startedMs
+      freeSlot()
+    }
+  }
+
+  const server = createServer((req, res) => {
+    if (req.url === '/_counts') return answer(res, 200, counts)
+    readBody(req).then(async ({ text, sha256, bytes }) => {
+      if (req.url !== '/_control') return work(req, res, sha256, bytes)
+      Object.assign(behaviour, controlSchema.parse(JSON.parse(text)))
+      announce().catch(() => undefined)
+      answer(res, 200, { ok: true })
+    }).catch(() => res.destroy())
+  })
+  server.keepAliveTimeout = 30_000
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(spec.port, spec.host, resolve)
+  })
+
+  const announce = async () => {
+    if (!behaviour.announce) return
+    const { service, port } = spec
+    const body = JSON.stringify({ service, port, capacity: spec.announcedCapacity ?? spec.slots, state: behaviour.state, instance })
+    const headers = { 'content-type': 'application/json' }
+    const res = await request(`${nodeUrl}${WELL_KNOWN_PREFIX}target`, { method: 'PUT', body, headers, dispatcher: agent })
+    await res.body.dump()
+  }
+  const timer = setInterval(() => { announce().catch(() => undefined) }, ANNOUNCE_INTERVAL_MS)
+  const coldStart = setTimeout(() => {
+    if (behaviour.state === 'starting') behaviour.state = 'ready'
+    announce().catch(() => undefined)
+  }, spec.coldStartMs)
+  announce().catch(() => undefined)
+
+  return {
+    counts: () => counts,
+    close: async () => {
+      clearInterval(timer)
+      clearTimeout(coldStart)
+      server.closeAllConnections()
+      await new Promise((resolve) => server.close(resolve))
+      await agent.destroy()
+    }
+  }
+}
+
+class DownstreamError extends Error {
+  readonly status: number
+  readonly retryAfter: string | undefined
+  constructor (service: string, res: Dispatcher.ResponseData) {
+    super(`the call to ${service} ended with ${res.statusCode}`)
+    this.status = res.statusCode >= 500 ? res.statusCode : 502
+    const retryAfter = res.headers[HEADERS.retryAfter]
+    this.retryAfter = typeof retryAfter === 'string' ? retryAfter : undefined
+  }
+}
+
+function answer (res: ServerResponse, status: number, body: unknown, retryAfter?: string): void {
+  if (res.destroyed || res.headersSent) return
+  const bytes = Buffer.from(JSON.stringify(body))
+  const retry = retryAfter === undefined ? {} : { [HEADERS.retryAfter]: retryAfter }
+  res.writeHead(status, { 'content-type': 'application/json', 'content-length': bytes.length, ...retry })
+  res.end(bytes)
+}
+
+async function readBody (req: IncomingMessage): Promise<{ text: string, sha256: string, bytes: number }> {
+  const hash = createHash('sha256')
+  let text = ''
+  let bytes = 0
+  for await (const chunk of req as AsyncIterable<Buffer>) {
+    hash.update(chunk)
+    bytes += chunk.length
+    if (bytes <= 64 * 1024) text += chunk.toString()
+  }
+  return { text, sha256: hash.digest('hex'), bytes }
+}
+
+function sleep (ms: number, signal: AbortSignal): Promise<void> {
+  return new Promise((resolve, reject) => {
+    const abort = () => {
+      clearTimeout(timer)
+      reject(new Error('the caller has gone'))
+    }
+    const timer = setTimeout(() => {
+      signal.removeEventListener('abort', abort)
+      resolve()
+    }, ms)
+    signal.addEventListener('abort', abort, { once: true })
+  })
+}
