Test groups of three replicas on a simulated network

Cause: elections, leases, repair and member changes had no test. Change: a simulated clock, network and disk with seeded faults; tests for isolation, one-way cuts, frozen leaders, lost disks, restarts and exclusion.

--- a/packages/control/src/replication/apply.ts
+++ b/packages/control/src/replication/apply.ts
@@ -31,27 +31,27 @@
     if (body.kind === 'command') for (const listener of replica.listeners) listener(index)
   }
   replica.changed.notify()
-  if (isSnapshotDue(replica)) startTask(replica, takeSnapshot(replica))
+  if (!isSnapshotDue(replica)) return
+  replica.savingSnapshot = takeSnapshot(replica).finally(() => { replica.savingSnapshot = undefined })
+  startTask(replica, replica.savingSnapshot)
 }
 
 function isSnapshotDue (replica: Replica): boolean {
   const { settings, store, lastApplied } = replica
   const since = store.snapshot()?.lastIndex ?? 0
-  if (replica.savingSnapshot || lastApplied <= since || replica.clock.nowMs() < replica.pausedUntilMs) return false
+  if (replica.savingSnapshot !== undefined || lastApplied <= since || replica.clock.nowMs() < replica.pausedUntilMs) return false
   if (lastApplied - since >= settings.snapshotEntries) return true
   return lastApplied % 16 === 0 && store.log.bytesFrom(since + 1) >= settings.snapshotBytes
 }
 
 /** Writes a snapshot of the applied state and drops the entries it replaces. */
-export async function takeSnapshot (replica: Replica) {
+async function takeSnapshot (replica: Replica) {
   const { store, machine, settings, appliedConfig, lastApplied } = replica
   const lastTerm = store.log.entry(lastApplied)?.term
-  if (appliedConfig === undefined || lastTerm === undefined || replica.savingSnapshot) return
-  replica.savingSnapshot = true
+  if (appliedConfig === undefined || lastTerm === undefined) return
   const saved = await store.saveSnapshot({ lastIndex: lastApplied, lastTerm, config: appliedConfig, state: machine.snapshot() })
   const dropped = saved.isErr()
     ? saved
     : await replica.lock(async () => replica.closed ? saved : await store.log.dropBefore(lastApplied - settings.trailingEntries + 1))
   if (dropped.isErr()) noteStorageError(replica, dropped.error)
-  replica.savingSnapshot = false
 }
--- /dev/null
+++ b/packages/control/src/replication/cluster.test.ts
@@ -0,0 +1,147 @@
+import test from 'ava'
+import { createCluster } from './testing/cluster.js'
+
+// Guards against followers that can't take proposals or claim to be current without asking the leader.
+test('three replicas elect a leader; a follower forwards proposals and serves current reads', async (t) => {
+  const cluster = createCluster(3, 1)
+  const leader = await cluster.boot()
+  const follower = cluster.vms.find((vm) => vm !== leader)!
+  t.is((await cluster.propose(leader.vmId, 'a'))._unsafeUnwrap(), 1)
+  t.is((await cluster.propose(follower.vmId, 'b'))._unsafeUnwrap(), 2)
+  t.true((await cluster.during(follower.log!.confirmCurrent())).isOk())
+  t.deepEqual(follower.machine.applied, ['a', 'b'])
+  t.is(follower.log!.status().leader, leader.log!.status().leader)
+  await cluster.converge()
+  t.deepEqual(cluster.violations, [])
+})
+
+// Guards against a second group, and against a first configuration that misses a member.
+test('init is refused while a member is down, when a peer is in a group, and when two VMs try at once', async (t) => {
+  const cluster = createCluster(3, 2)
+  await cluster.start('c1')
+  await cluster.start('c2')
+  t.regex((await cluster.during(cluster.vm('c1').log!.init()))._unsafeUnwrapErr().message, /"c3" does not answer/)
+  await cluster.start('c3')
+  const both = await cluster.during(Promise.all([cluster.vm('c1').log!.init(), cluster.vm('c2').log!.init()]))
+  t.true(both.filter((res) => res.isOk()).length <= 1)
+  await cluster.during(cluster.vm('c1').log!.init())
+  await cluster.until(() => cluster.leader() !== undefined, 'a leader')
+  cluster.kill('c3')
+  cluster.vm('c3').disk.erase()
+  await cluster.start('c3')
+  t.regex((await cluster.during(cluster.vm('c3').log!.init()))._unsafeUnwrapErr().message, /already belongs to a group|exists already/)
+  await cluster.converge()
+  t.deepEqual(cluster.violations, [])
+})
+
+// Guards against stale reads, edits accepted on the minority side, and a returning replica that deposes the leader.
+test('an isolated leader refuses entries and reads, and returns without disturbing the new leader', async (t) => {
+  const cluster = createCluster(3, 3)
+  const old = await cluster.boot()
+  await cluster.propose(old.vmId, 'before')
+  cluster.network.isolate(old.vmId)
+  t.is((await cluster.propose(old.vmId, 'lost'))._unsafeUnwrapErr().kind, 'outcomeUnknown')
+  t.is((await cluster.propose(old.vmId, 'refused'))._unsafeUnwrapErr().kind, 'notLeader')
+  t.true((await cluster.during(old.log!.confirmCurrent())).isErr())
+  await cluster.until(() => cluster.leader() !== undefined, 'a second leader')
+  const next = cluster.leader()!
+  t.not(next, old)
+  await cluster.propose(next.vmId, 'after')
+  await cluster.advance(60_000)
+  const { term } = next.log!.status()
+  cluster.network.heal()
+  await cluster.converge()
+  t.is(cluster.leader(), next)
+  t.is(next.log!.status().term, term)
+  t.deepEqual(old.machine.applied, ['before', 'after'])
+  t.deepEqual(cluster.violations, [])
+})
+
+// Guards against a leader that keeps sending but hears nothing, and against a follower that hears nothing but can vote.
+test('one-way cuts end the lease of a deaf leader and do not depose a heard one', async (t) => {
+  const cluster = createCluster(3, 4)
+  const leader = await cluster.boot()
+  const [one, two] = cluster.vms.filter((vm) => vm !== leader)
+  const { term } = leader.log!.status()
+  cluster.network.cut(leader.vmId, one!.vmId)
+  await cluster.advance(10_000)
+  t.is(cluster.leader(), leader)
+  t.is(leader.log!.status().term, term)
+  cluster.network.heal()
+  cluster.network.cut(one!.vmId, leader.vmId)
+  cluster.network.cut(two!.vmId, leader.vmId)
+  await cluster.until(() => (cluster.leader() ?? leader) !== leader, 'another leader', 20_000)
+  cluster.network.heal()
+  await cluster.converge()
+  t.deepEqual(cluster.violations, [])
+})
+
+// Guards against a frozen process that resumes and still believes that it leads.
+test('a frozen leader that resumes holds no lease', async (t) => {
+  const cluster = createCluster(3, 5)
+  const old = await cluster.boot()
+  old.process.isFrozen = true
+  await cluster.until(() => cluster.leader() !== undefined, 'another leader')
+  await cluster.propose(cluster.leader()!.vmId, 'a')
+  old.process.isFrozen = false
+  t.is(old.log!.status().leaseMs, 0)
+  t.true((await cluster.during(old.log!.propose('b'))).isErr())
+  await cluster.converge()
+  t.deepEqual(old.machine.applied, ['a'])
+  t.deepEqual(cluster.violations, [])
+})
+
+// Guards against repairs that lose accepted entries or need the disk that was lost.
+test('a lost disk is replaced, after which any second replica may be lost with its disk', async (t) => {
+  for (const second of ['c1', 'c2', 'c3']) {
+    const cluster = createCluster(3, 6, { snapshotEntries: 40, trailingEntries: 5, chunkBytes: 100 })
+    const leader = await cluster.boot()
+    const commands = Array.from({ length: 90 }, (_, i) => `entry ${i}`)
+    const lost = cluster.vms.find((vm) => vm !== leader)!
+    for (const cmd of commands.slice(0, 60)) await cluster.propose(leader.vmId, cmd)
+    cluster.kill(lost.vmId)
+    lost.disk.erase()
+    await cluster.start(lost.vmId)
+    t.is(lost.log?.status().role, 'outsider')
+    for (const cmd of commands.slice(60)) await cluster.propose(cluster.leader()!.vmId, cmd)
+    await cluster.converge()
+    t.deepEqual(cluster.leader()!.log!.status().members.map(({ vmId }) => vmId).sort(), ['c1', 'c2', 'c3'])
+
+    cluster.kill(second)
+    cluster.vm(second).disk.erase()
+    await cluster.until(() => cluster.leader() !== undefined, 'a leader without the second replica')
+    t.true((await cluster.propose(cluster.leader()!.vmId, 'last')).isOk())
+    await cluster.start(second)
+    await cluster.converge()
+    for (const { machine } of cluster.vms) t.deepEqual(machine.applied, [...commands, 'last'])
+    t.deepEqual(cluster.violations, [])
+  }
+})
+
+// Guards against restarts that lose entries or apply them twice.
+test('all replicas restart after hundreds of entries and several snapshots', async (t) => {
+  const cluster = createCluster(3, 7, { snapshotEntries: 150, trailingEntries: 20, segmentBytes: 3000 })
+  const leader = await cluster.boot()
+  const commands = Array.from({ length: 600 }, (_, i) => `entry ${i}`)
+  for (let i = 0; i < commands.length; i += 30) await cluster.during(Promise.all(commands.slice(i, i + 30).map((cmd) => leader.log!.propose(cmd))))
+  for (const { vmId } of cluster.vms) cluster.kill(vmId, true)
+  for (const { vmId } of cluster.vms) await cluster.start(vmId)
+  await cluster.converge()
+  for (const { machine } of cluster.vms) t.deepEqual(machine.applied, commands)
+  t.deepEqual(cluster.violations, [])
+})
+
+// Guards against an excluded VM that pushes itself back in.
+test('an excluded VM stays out until it is readmitted', async (t) => {
+  const cluster = createCluster(3, 8)
+  const leader = await cluster.boot()
+  const out = cluster.vms.find((vm) => vm !== leader)!
+  await cluster.propose(leader.vmId, 'a')
+  t.true((await cluster.during(leader.log!.exclude(out.vmId))).isOk())
+  await cluster.advance(5000)
+  t.deepEqual(leader.log!.status().members.length, 2)
+  t.is((await cluster.during(leader.log!.exclude(leader.vmId)))._unsafeUnwrapErr().kind, 'refused')
+  t.true((await cluster.during(leader.log!.readmit(out.vmId))).isOk())
+  await cluster.converge()
+  t.deepEqual(cluster.violations, [])
+})
--- a/packages/control/src/replication/membership.ts
+++ b/packages/control/src/replication/membership.ts
@@ -71,12 +71,15 @@
   return true
 }
 
-/** Asks the other control VMs for admission while this replica is no member. */
+/** Asks the other control VMs for admission while this replica is no member, or no leader may know it as one. */
 export async function runJoin (replica: Replica) {
   const { clock, settings, peers, self } = replica
   while (!replica.closed) {
     await clock.sleep(settings.joinRetryMs)
-    if (replica.closed || replica.fault !== undefined || ownMember(replica) !== undefined || replica.initiating) continue
+    const isHeard = clock.nowMs() - replica.leaderContactMs < settings.electionMaxMs || replica.role === 'leader'
+    if (replica.closed || replica.fault !== undefined || replica.initiating) continue
+    // A removed member isn't sent the entry that removes it.
+    if (ownMember(replica) !== undefined && isHeard) continue
     for (const { vmId } of peers.filter((peer) => peer.vmId !== self.vmId)) {
       const reply = await request(replica, vmId, { kind: 'join' })
       if (reply?.kind === 'join' && reply.accepted) break
--- a/packages/control/src/replication/replica.ts
+++ b/packages/control/src/replication/replica.ts
@@ -84,7 +84,8 @@
   appliedConfig: Configuration | undefined
   leadership: Leadership | undefined
   initiating: boolean
-  savingSnapshot: boolean
+  /** The write of a snapshot that is under way. */
+  savingSnapshot: Promise<void> | undefined
   incoming: { key: string, pieces: Buffer[], bytes: number } | undefined
   /** A fault of the replication itself, after which this replica stops taking part. */
   fault: string | undefined
--- a/packages/control/src/replication/replicated-log.ts
+++ b/packages/control/src/replication/replicated-log.ts
@@ -83,6 +83,7 @@
       replica.closed = true
       stepDown(replica, 'the process is stopping')
       replica.changed.notify()
+      await replica.savingSnapshot?.catch(() => {})
       await replica.lock(() => replica.store.close())
     }
   })
@@ -123,7 +124,7 @@
     appliedConfig: snapshot?.config,
     leadership: undefined,
     initiating: false,
-    savingSnapshot: false,
+    savingSnapshot: undefined,
     incoming: undefined,
     fault: undefined,
     closed: false
--- a/packages/control/src/replication/replicator.ts
+++ b/packages/control/src/replication/replicator.ts
@@ -22,7 +22,8 @@
 const isActive = (replica: Replica, leadership: Leadership, { storageId }: Progress) =>
   !leadership.ended && replica.config?.members.some((member) => member.storageId === storageId) === true
 
-const needsSnapshot = (replica: Replica, { nextIndex }: Progress) => termAt(replica, nextIndex - 1) === undefined
+const needsSnapshot = (replica: Replica, { nextIndex }: Progress) =>
+  nextIndex < replica.store.log.firstIndex() || termAt(replica, nextIndex - 1) === undefined
 
 /** Sends entries from `nextIndex` on, or a heartbeat; false when the peer gave no usable reply. */
 async function sendEntries (replica: Replica, leadership: Leadership, progress: Progress): Promise<boolean> {
--- /dev/null
+++ b/packages/control/src/replication/testing/cluster.ts
@@ -0,0 +1,176 @@
+import { createSeededRandom } from '@orioleslip/core'
+import { createFakeDisk, type FakeDisk } from '../../storage/testing/fake-disk.js'
+import { createReplicatedLog, type ControlLog } from '../replicated-log.js'
+import type { ReplicationSettings } from '../settings.js'
+import { createFakeNetwork } from './network.js'
+import { createRecorder, type Recorder } from './recorder.js'
+import { createSimulatedClock } from './simulated-clock.js'
+
+/** One control VM: its disk outlives its processes. */
+export type FakeVm = {
+  vmId: string
+  disk: FakeDisk
+  log: ControlLog<string, number> | undefined
+  machine: Recorder
+  process: { isDead: boolean, isFrozen: boolean }
+  /** Why the last start failed. */
+  startError: string | undefined
+}
+
+/** Several VMs on one simulated clock and network; violations of the log's invariants are collected while time passes. */
+export type Cluster = ReturnType<typeof createCluster>
+
+/** Creates VMs `c1`, `c2` and so on, all stopped. */
+export function createCluster (size: number, seed: number, settings: Partial<ReplicationSettings> = {}) {
+  const clock = createSimulatedClock()
+  const random = createSeededRandom(seed)
+  const vmIds = Array.from({ length: size }, (_, i) => `c${i + 1}`)
+  const network = createFakeNetwork(clock, random, vmIds)
+  const violations: string[] = []
+  const leaders = new Map<number, string>()
+  let storageIds = 0
+  const vms = vmIds.map<FakeVm>((vmId) => ({
+    vmId, disk: createFakeDisk(), log: undefined, machine: createRecorder(), process: { isDead: true, isFrozen: false }, startError: undefined
+  }))
+  const vm = (vmId: string) => vms.find((other) => other.vmId === vmId)!
+
+  async function start (vmId: string) {
+    const target = vm(vmId)
+    const process = { isDead: false, isFrozen: false }
+    // A dead process never goes on, a frozen one goes on later.
+    const gate = async () => {
+      if (process.isDead) await new Promise<never>(() => {})
+      while (process.isFrozen) await clock.sleep(1)
+    }
+    const transport = network.transportOf(vmId)
+    const opening = createReplicatedLog({
+      group: 'lists',
+      vmId,
+      peers: vmIds.map((id) => ({ vmId: id, address: `${id}:1` })),
+      dir: '/data',
+      machine: target.machine = createRecorder(),
+      transport: {
+        send: async (to, message) => {
+          await gate()
+          const reply = await transport.send(to, message)
+          await gate()
+          return reply
+        }
+      },
+      logger: {
+        info: (fields, message) => { if (message === 'this replica leads') noteLeader(vmId, (fields as { term: number }).term) },
+        warn: () => {},
+        error: (fields) => { if ('err' in fields) violations.push(`${vmId}: ${String(fields.err)}`) }
+      },
+      settings,
+      fileSystem: target.disk.mount(gate),
+      clock: {
+        ...clock,
+        sleep: async (ms, signal) => {
+          await clock.sleep(ms, signal)
+          await gate()
+        }
+      },
+      random,
+      newStorageId: () => `${vmId}-disk${++storageIds}`
+    })
+    target.process = process
+    target.log = undefined
+    const opened = await Promise.race([opening, clock.advance(3000).then(() => undefined)])
+    if (opened === undefined || process.isDead) return
+    target.startError = opened.match(() => undefined, ({ message }) => message)
+    if (opened.isErr()) return
+    target.log = opened.value
+    network.setHandler(vmId, async (message) => {
+      await gate()
+      const reply = await opened.value.handle(message)
+      await gate()
+      return reply
+    })
+  }
+
+  function noteLeader (vmId: string, term: number) {
+    const other = leaders.get(term) ?? vmId
+    if (other !== vmId) violations.push(`${other} and ${vmId} lead in term ${term}`)
+    leaders.set(term, vmId)
+  }
+
+  function check () {
+    const holders = vms.filter(({ log, process }) => log !== undefined && !process.isDead && log.status().leaseMs > 0)
+    if (holders.length > 1) violations.push(`${holders.map(({ vmId }) => vmId).join(' and ')} hold a lease at ${clock.nowMs()}`)
+    const sequences = vms.filter(({ log }) => log !== undefined).map(({ machine }) => machine.applied).sort((a, b) => a.length - b.length)
+    const longest = sequences.at(-1) ?? []
+    for (const sequence of sequences) {
+      const at = sequence.findIndex((cmd, i) => cmd !== longest[i])
+      if (at !== -1) violations.push(`position ${at} holds ${sequence[at]} and ${longest[at]}`)
+    }
+  }
+
+  async function advance (ms: number) {
+    for (let doneMs = 0; doneMs < ms; doneMs += 10) {
+      await clock.advance(Math.min(10, ms - doneMs))
+      check()
+    }
+  }
+
+  /** Waits for a promise while time passes. */
+  async function during<T> (promise: PromiseLike<T>): Promise<T> {
+    let isDone = false
+    const done = Promise.resolve(promise).finally(() => { isDone = true })
+    for (let i = 0; !isDone && i < 3000; i++) await advance(10)
+    if (!isDone) throw new Error('no result within 30 s')
+    return await done
+  }
+
+  async function until (condition: () => boolean, what: string, ms = 15_000) {
+    for (let doneMs = 0; !condition(); doneMs += 10) {
+      if (doneMs >= ms) throw new Error(`not within ${ms} ms: ${what}`)
+      await advance(10)
+    }
+  }
+
+  /** Kills the process; unsynced writes are lost, or partly lost when `isTorn`. */
+  function kill (vmId: string, isTorn = false) {
+    const target = vm(vmId)
+    target.process.isDead = true
+    target.log = undefined
+    network.setHandler(vmId, undefined)
+    target.disk.crash(isTorn ? random : undefined)
+  }
+
+  const leader = () => vms.find(({ log, process }) => !process.isDead && !process.isFrozen && (log?.status().leaseMs ?? 0) > 0)
+  const isSettled = () => {
+    const voters = leader()?.log?.status().members.filter(({ voter }) => voter) ?? []
+    return voters.length === size && vms.every(({ log }) => log?.status().role === 'leader' || log?.status().role === 'follower')
+  }
+
+  return {
+    clock,
+    random,
+    network,
+    violations,
+    vms,
+    vm,
+    start,
+    kill,
+    advance,
+    during,
+    until,
+    leader,
+    /** Starts all VMs, creates the group and waits for a leader. */
+    boot: async () => {
+      for (const { vmId } of vms) await start(vmId)
+      await advance(700)
+      const created = await during(vms[0]!.log!.init())
+      if (created.isErr()) throw new Error(created.error.message)
+      await until(() => leader() !== undefined, 'a leader')
+      return leader()!
+    },
+    propose: (vmId: string, cmd: string) => during(vm(vmId).log!.propose(cmd)),
+    /** Waits until every VM is a voter again and has applied the same commands. */
+    converge: async () => {
+      await until(isSettled, 'all VMs are voters', 30_000)
+      await until(() => vms.every(({ machine }) => machine.applied.length === leader()?.machine.applied.length), 'equal logs')
+    }
+  }
+}
