Make forwarded proposals and failed syncs report exact outcomes

Cause: a copy of a forwarded proposal could be appended after another copy was answered with notLeader, and a failed sync on the leader was reported as refused although the entry may be found on the disk later. Change: forwarded proposals carry a request id and the term of the leadership; a failed sync gives outcomeUnknown; tests for damaged, full and failing disks and for crashes at every disk operation of an append. Conclusion: notLeader and refused mean that the command does not take effect.

--- a/packages/control/src/replication/apply.ts
+++ b/packages/control/src/replication/apply.ts
@@ -1,4 +1,4 @@
-import { err, ok } from 'neverthrow'
+import { ok } from 'neverthrow'
 import { noteStorageError, type Replica } from './replica.js'
 import { stepDown } from './roles.js'
 import { startTask } from './tasks.js'
@@ -11,7 +11,7 @@
     const index = replica.lastApplied + 1
     const entry = store.log.entry(index)
     if (entry === undefined) throw new Error(`committed entry ${index} is not in the log`)
-    const { body, term } = entry
+    const { body } = entry
     let reply: unknown
     try {
       if (body.kind === 'command') reply = machine.apply(index, body.cmd)
@@ -26,8 +26,7 @@
     replica.lastApplied = index
     const proposal = replica.leadership?.waiting.get(index)
     replica.leadership?.waiting.delete(index)
-    if (term === replica.leadership?.term) proposal?.resolve(ok(reply))
-    else proposal?.resolve(err({ kind: 'notLeader', message: 'another leader\'s entry took the place; the command was not applied' }))
+    proposal?.resolve(ok(reply))
     if (body.kind === 'command') for (const listener of replica.listeners) listener(index)
   }
   replica.changed.notify()
--- a/packages/control/src/replication/handler.ts
+++ b/packages/control/src/replication/handler.ts
@@ -19,7 +19,7 @@
       const index = currentIndex(replica)
       return { kind: 'readIndex', ...(index === undefined ? {} : { index }) }
     }
-    case 'forward': return await handleForward(replica, body.cmd)
+    case 'forward': return await handleForward(replica, body)
     case 'join': return { kind: 'join', accepted: await handleJoin(replica, from.vmId) }
     case 'identify': return {
       kind: 'identify',
--- a/packages/control/src/replication/leader.ts
+++ b/packages/control/src/replication/leader.ts
@@ -21,6 +21,7 @@
     proposals: [],
     waiting: new Map(),
     joins: new Map(),
+    forwards: new Map(),
     queued: createNotifier(clock),
     written: createNotifier(clock),
     ended: false
@@ -66,7 +67,9 @@
   if (written.isErr()) {
     noteStorageError(replica, written.error)
     const { message } = written.error
-    for (const { resolve } of batch) resolve(err({ kind: 'refused', message }))
+    // After a failed sync the entries may be found on the disk at the next start.
+    const kind = store.failure() === undefined ? 'refused' : 'outcomeUnknown'
+    for (const { resolve } of batch) resolve(err({ kind, message }))
     const isAlone = replica.config !== undefined && votersOf(replica.config).length === 1
     if (!leadership.ended && (!isAlone || store.failure() !== undefined)) stepDown(replica, message)
     return
--- a/packages/control/src/replication/messages.ts
+++ b/packages/control/src/replication/messages.ts
@@ -23,13 +23,16 @@
   data: string
 }
 
+export type ForwardRequest = { kind: 'forward', requestId: string, term: number, cmd: unknown }
+
 export type RequestBody =
   | { kind: 'identify', /** The sender is creating a group. */ init: boolean }
   | VoteRequest
   | AppendRequest
   | SnapshotRequest
   | { kind: 'readIndex' }
-  | { kind: 'forward', cmd: unknown }
+  /** `term` is that in which the sender knows the receiver as the leader, so that a late copy meets no later leadership. */
+  | ForwardRequest
   | { kind: 'join' }
 
 export type VoteReply = { kind: 'vote', term: number, granted: boolean }
--- a/packages/control/src/replication/proposals.ts
+++ b/packages/control/src/replication/proposals.ts
@@ -1,12 +1,16 @@
+import { randomUUID } from 'node:crypto'
 import type { ProposeError } from '@orioleslip/core'
 import { err, ok, type Result } from 'neverthrow'
 import { pack, unpack } from '../storage/record.js'
 import type { LogEntry } from '../storage/entry.js'
-import type { ForwardReply } from './messages.js'
+import type { ForwardReply, ForwardRequest } from './messages.js'
 import { within } from './notifier.js'
 import { failureOf, request, type Proposal, type Replica } from './replica.js'
 import { leaseMs } from './roles.js'
 
+// More than a leader answers while a copy of a message is under way.
+const REMEMBERED_FORWARDS = 20_000
+
 type Proposed = Result<unknown, ProposeError>
 
 /** Proposes a command: here when this replica leads, otherwise through the leader it knows. */
@@ -62,7 +66,8 @@
 async function forward (replica: Replica, cmd: unknown): Promise<Proposed> {
   const { leaderVmId, settings } = replica
   if (leaderVmId === undefined || leaderVmId === replica.self.vmId) return err(notLeader(replica, 'no leader is known'))
-  const reply = await request(replica, leaderVmId, { kind: 'forward', cmd }, undefined, settings.proposeTimeoutMs + settings.rpcTimeoutMs)
+  const body: ForwardRequest = { kind: 'forward', requestId: randomUUID(), term: replica.term, cmd }
+  const reply = await request(replica, leaderVmId, body, undefined, settings.proposeTimeoutMs + settings.rpcTimeoutMs)
   if (reply?.kind === 'forward') {
     switch (reply.status) {
       case 'ok': return ok(reply.reply)
@@ -76,8 +81,23 @@
 }
 
 /** Handles a proposal forwarded by another replica; it is never forwarded again. */
-export async function handleForward (replica: Replica, cmd: unknown): Promise<ForwardReply> {
-  if (replica.role !== 'leader') return { kind: 'forward', status: 'notLeader', message: 'this replica does not lead' }
+export async function handleForward (replica: Replica, { requestId, term, cmd }: ForwardRequest): Promise<ForwardReply> {
+  const { leadership } = replica
+  if (leadership?.term !== term) return { kind: 'forward', status: 'notLeader', message: `this replica does not lead in term ${term}` }
+  if (leadership.forwards.has(requestId)) {
+    const first = leadership.forwards.get(requestId)
+    return await (first ?? { kind: 'forward', status: 'outcomeUnknown', message: 'the request was answered before; resend with the same id' })
+  }
+  const reply = proposeForwarded(replica, cmd)
+  leadership.forwards.set(requestId, reply)
+  const oldest = leadership.forwards.keys().next().value
+  if (leadership.forwards.size > REMEMBERED_FORWARDS && oldest !== undefined) leadership.forwards.delete(oldest)
+  const answer = await reply
+  leadership.forwards.set(requestId, undefined)
+  return answer
+}
+
+async function proposeForwarded (replica: Replica, cmd: unknown): Promise<ForwardReply> {
   const res = await propose(replica, cmd)
   return res.match<ForwardReply>(
     (reply) => ({ kind: 'forward', status: 'ok', reply }),
--- a/packages/control/src/replication/replica.ts
+++ b/packages/control/src/replication/replica.ts
@@ -3,7 +3,7 @@
 import type { Configuration, LogEntry } from '../storage/entry.js'
 import type { StorageError } from '../storage/errors.js'
 import type { Store } from '../storage/store.js'
-import type { RefusedReply, ReplicationMessage, ReplicationReply, ReplicationTransport, RequestBody } from './messages.js'
+import type { ForwardReply, RefusedReply, ReplicationMessage, ReplicationReply, ReplicationTransport, RequestBody } from './messages.js'
 import { within, type Lock, type Notifier } from './notifier.js'
 import type { ReplicationSettings } from './settings.js'
 
@@ -43,6 +43,8 @@
   /** Written entries whose callers wait, by index. */
   waiting: Map<number, Proposal>
   joins: Map<string, string>
+  /** Forwarded proposals by request id, so that a message that arrives twice has one effect; undefined once answered. */
+  forwards: Map<string, Promise<ForwardReply> | undefined>
   /** Wakes the writer: proposals were added. */
   queued: Notifier
   /** Wakes the replicators: entries were written. */
--- /dev/null
+++ b/packages/control/src/replication/storage-faults.test.ts
@@ -0,0 +1,112 @@
+import test from 'ava'
+import { createCluster } from './testing/cluster.js'
+
+const flipByte = (offset: number) => (data: Buffer) => data.fill(data[offset]! ^ 0xff, offset, offset + 1)
+
+async function createFilledCluster (seed: number) {
+  const cluster = createCluster(3, seed)
+  const leader = await cluster.boot()
+  const commands = Array.from({ length: 20 }, (_, i) => `entry ${i}`)
+  for (const cmd of commands) await cluster.propose(leader.vmId, cmd)
+  await cluster.converge()
+  return { cluster, leader, commands, follower: cluster.vms.find((vm) => vm !== leader)! }
+}
+
+// Guards against damaged entries that are served, and against a damaged replica that votes with what is left of its log.
+test('a replica with a damaged log is rebuilt from its peers under a new storage id', async (t) => {
+  const { cluster, commands, follower } = await createFilledCluster(21)
+  const before = follower.log!.status().storageId
+  cluster.kill(follower.vmId)
+  follower.disk.corrupt('/data/0000000000000001.seg', flipByte(300))
+  await cluster.start(follower.vmId)
+  await cluster.converge()
+  t.not(follower.log!.status().storageId, before)
+  t.deepEqual(follower.machine.applied, commands)
+  t.true(follower.disk.paths().some((path) => path.startsWith('/data/damaged-1/')))
+  t.deepEqual(cluster.violations, [])
+})
+
+// Guards against replicas that give up damaged files while no healthy copy is known.
+test('a damaged replica without a reachable leader refuses to start and keeps its files', async (t) => {
+  const { cluster, follower } = await createFilledCluster(22)
+  for (const { vmId } of cluster.vms) cluster.kill(vmId)
+  follower.disk.corrupt('/data/0000000000000001.seg', flipByte(300))
+  const before = follower.disk.paths()
+  await cluster.start(follower.vmId)
+  t.regex(follower.startError ?? '', /seg: the record of entry \d+ has a wrong checksum at offset \d+; .*start the other control VMs first/)
+  t.deepEqual(follower.disk.paths(), before)
+})
+
+// Guards against a leader that holds on to its role while it can't accept entries.
+test('a leader with a full disk refuses the entry and hands over', async (t) => {
+  const { cluster, leader, commands } = await createFilledCluster(23)
+  leader.disk.fault = (operation) => operation === 'write' ? 'ENOSPC' : undefined
+  const refused = (await cluster.propose(leader.vmId, 'refused'))._unsafeUnwrapErr()
+  t.is(refused.kind, 'refused')
+  t.regex(refused.message, /no space left.*free space/)
+  await cluster.until(() => cluster.leader() !== undefined && cluster.leader() !== leader, 'another leader')
+  t.true((await cluster.propose(cluster.leader()!.vmId, 'after')).isOk())
+  leader.disk.fault = undefined
+  await cluster.converge()
+  for (const { machine } of cluster.vms) t.deepEqual(machine.applied, [...commands, 'after'])
+  t.deepEqual(cluster.violations, [])
+})
+
+// Guards against acknowledgements of entries whose sync failed.
+test('a replica whose sync fails takes no part until it is restarted', async (t) => {
+  const { cluster, leader, commands, follower } = await createFilledCluster(24)
+  const third = cluster.vms.find((vm) => vm !== leader && vm !== follower)!
+  follower.disk.fault = (operation) => operation === 'sync' ? 'EIO' : undefined
+  t.true((await cluster.propose(leader.vmId, 'with two')).isOk())
+  await cluster.advance(500)
+  t.is(follower.log!.status().role, 'failed')
+  follower.disk.fault = undefined
+  cluster.kill(third.vmId)
+  t.is((await cluster.propose(leader.vmId, 'open'))._unsafeUnwrapErr().kind, 'outcomeUnknown')
+  cluster.kill(follower.vmId)
+  await cluster.start(follower.vmId)
+  await cluster.start(third.vmId)
+  await cluster.converge()
+  t.deepEqual(leader.machine.applied.slice(0, 21), [...commands, 'with two'])
+  t.deepEqual(cluster.violations, [])
+})
+
+// Guards against a sync fault on the leader that is reported as if the entry could never take effect.
+test('a failed sync on the leader leaves the outcome unknown', async (t) => {
+  const { cluster, leader } = await createFilledCluster(25)
+  leader.disk.fault = (operation) => operation === 'sync' ? 'EIO' : undefined
+  t.is((await cluster.propose(leader.vmId, 'open'))._unsafeUnwrapErr().kind, 'outcomeUnknown')
+  await cluster.until(() => cluster.leader() !== undefined && cluster.leader() !== leader, 'another leader')
+  t.deepEqual(cluster.violations, [])
+})
+
+// Guards against accepted entries that are lost when a replica crashes in the middle of an append.
+test('a crash of the leader or a follower at every disk operation of an append loses no accepted entry', async (t) => {
+  for (const role of ['leader', 'follower'] as const) {
+    for (let steps = 0; steps < 6; steps++) {
+      const { cluster, leader, commands, follower } = await createFilledCluster(30 + steps)
+      const victim = role === 'leader' ? leader : follower
+      let left = steps
+      let isDown = false
+      victim.onDiskOperation = () => {
+        if (left-- > 0 || isDown) return
+        isDown = true
+        cluster.kill(victim.vmId, true)
+      }
+      const accepted: string[] = []
+      const { log } = leader
+      for (const cmd of ['x', 'y', 'z']) {
+        const res = await cluster.during(Promise.race([log!.propose(cmd), cluster.clock.sleep(5000).then(() => undefined)]))
+        if (res?.isOk() === true) accepted.push(cmd)
+      }
+      t.true(isDown)
+      await cluster.start(victim.vmId)
+      await cluster.converge()
+      const applied = cluster.leader()!.machine.applied
+      t.deepEqual(applied.slice(0, 20), commands)
+      t.deepEqual(applied.slice(20).filter((cmd) => accepted.includes(cmd)), accepted)
+      if (role === 'follower') t.is(accepted.length, 3)
+      t.deepEqual(cluster.violations, [])
+    }
+  }
+})
--- a/packages/control/src/replication/testing/cluster.ts
+++ b/packages/control/src/replication/testing/cluster.ts
@@ -13,6 +13,8 @@
   log: ControlLog<string, number> | undefined
   machine: Recorder
   process: { isDead: boolean, isFrozen: boolean }
+  /** Runs before each operation on the disk; may kill the process. */
+  onDiskOperation: (() => void) | undefined
   /** Why the last start failed. */
   startError: string | undefined
 }
@@ -35,6 +37,7 @@
     log: undefined,
     machine: createRecorder(),
     process: { isDead: true, isFrozen: false },
+    onDiskOperation: undefined,
     startError: undefined
   }))
   const vm = (vmId: string) => vms.find((other) => other.vmId === vmId)!
@@ -68,7 +71,10 @@
         error: (fields) => { if ('err' in fields) violations.push(`${vmId}: ${String(fields.err)}`) }
       },
       settings,
-      fileSystem: target.disk.mount(gate),
+      fileSystem: target.disk.mount(async () => {
+        target.onDiskOperation?.()
+        await gate()
+      }),
       clock: {
         ...clock,
         sleep: async (ms, signal) => {
