Add the lists state machine, the audit trail and the control API routes

Cause: operators edit two lists that nodes must get within seconds, and each attempt must be traceable. Conclusion: the parts can be wired to the replicated log.

--- /dev/null
+++ b/packages/control/src/api/attempt-log.ts
@@ -0,0 +1,47 @@
+import type { Clock, ReplicatedLog } from '@orioleslip/core'
+import type { Logger } from 'pino'
+import type { AuditContent } from '../audit/chain.js'
+import type { ListsCommand, ListsReply } from '../lists/commands.js'
+
+/** A change that was turned down before it reached the lists. */
+export type Attempt = { operator: string, action: AuditContent['action'], editId?: string, unauthenticated: boolean, reason: string }
+
+// Entries for attempts that anyone can cause: a burst of 20 and one per 10 s, at most 8640 a day, keep a flood out of the log.
+const BURST = 20
+const REFILL_MS = 10_000
+
+/** Creates the recorder of refused attempts. It doesn't wait for the log; a lost record stays in the process's own log. */
+export function createAttemptLog (
+  options: { vmId: string, lists: Pick<ReplicatedLog<ListsCommand, ListsReply>, 'propose'>, clock: Clock, log: Logger }
+): (attempt: Attempt) => void {
+  const { vmId, lists, clock, log } = options
+  let tokens = BURST
+  let refilledMs = clock.nowMs()
+  let suppressed = 0
+
+  return (attempt) => {
+    const { operator, action, editId, unauthenticated, reason } = attempt
+    const refill = Math.floor((clock.nowMs() - refilledMs) / REFILL_MS)
+    tokens = Math.min(BURST, tokens + refill)
+    refilledMs += refill * REFILL_MS
+    if (tokens === 0) {
+      suppressed++
+      return
+    }
+    tokens--
+    const entry: AuditContent = {
+      wallMs: clock.wallMs(),
+      vmId,
+      operator,
+      action,
+      ...(editId === undefined ? {} : { editId }),
+      changes: [],
+      outcome: { kind: 'refused', unauthenticated, reason },
+      ...(suppressed === 0 ? {} : { suppressed })
+    }
+    suppressed = 0
+    log.warn({ audit: entry }, 'Refused a change')
+    void lists.propose({ kind: 'record', entry })
+      .mapErr((problem) => log.error({ audit: entry, problem }, 'The refused change is not in the audit trail; only this log has it'))
+  }
+}
--- /dev/null
+++ b/packages/control/src/api/client.ts
@@ -0,0 +1,110 @@
+import { createTRPCClient, httpLink, TRPCClientError, type TRPCClient } from '@trpc/client'
+import { authorizeRequest, type Clock, type Principal, type RegisterError } from '@orioleslip/core'
+import { err, ok, ResultAsync, type Result } from 'neverthrow'
+import { Agent, fetch } from 'undici'
+import { pack, unpack } from './packed.js'
+import type { ControlRouter } from './router.js'
+
+/** Failure of a control API call. */
+export type ControlCallError =
+  /** No connection: the call was not applied. */
+  | { kind: 'unreachable', message: string }
+  /** The control VM turned the call down; `code` is the tRPC code. */
+  | { kind: 'refused', code: string, message: string }
+  /** No complete answer: the call may have been applied. */
+  | { kind: 'lost', message: string }
+
+export type ControlClient = {
+  authority: string
+  api: TRPCClient<ControlRouter>
+  /** Calls a key register operation, for the register client of nodes. */
+  keyCall: (procedure: string, input: unknown) => ResultAsync<unknown, RegisterError>
+  close: () => Promise<void>
+}
+
+export type ControlClientOptions = {
+  /** `address:port` of the control VM, as in its settings. */
+  authority: string
+  principal: Principal
+  key: string
+  clock: Clock
+  /** Longest wait for an answer, in ms. */
+  timeoutMs?: number
+}
+
+const CONNECT_TIMEOUT_MS = 1000
+const DEFAULT_TIMEOUT_MS = 8000
+const NOT_CONNECTED = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
+
+/** Creates a client of one control VM that signs each request. */
+export function createControlClient (options: ControlClientOptions): ControlClient {
+  const { authority, principal, key, clock, timeoutMs = DEFAULT_TIMEOUT_MS } = options
+  const dispatcher = new Agent({ connect: { timeout: CONNECT_TIMEOUT_MS }, keepAliveTimeout: 10_000 })
+
+  const signedFetch = async (url: string | URL | Request, init: RequestInit = {}): Promise<Response> => {
+    const { pathname, search } = new URL(String(url))
+    const { method = 'GET' } = init
+    const body = typeof init.body === 'string' ? init.body : ''
+    const authorization = authorizeRequest(principal, key, { method, authority, path: pathname + search, body }, clock.wallMs())
+    const timeout = AbortSignal.timeout(timeoutMs)
+    const res = await fetch(String(url), {
+      method,
+      headers: { 'content-type': 'application/json', authorization },
+      ...(method === 'GET' ? {} : { body }),
+      signal: init.signal ? AbortSignal.any([init.signal, timeout]) : timeout,
+      dispatcher
+    })
+    // undici's Response and the global one are the same interface with separate declarations.
+    return res as unknown as Response
+  }
+
+  const api = createTRPCClient<ControlRouter>({ links: [httpLink({ url: `http://${authority}/trpc`, fetch: signedFetch })] })
+  return {
+    authority,
+    api,
+    keyCall: (procedure, input) => new ResultAsync((async (): Promise<Result<unknown, RegisterError>> => {
+      const res = await callControl(api.keys.mutate({ procedure, packed: pack(input) }))
+      if (res.isErr()) return err(toRegisterError(res.error))
+      const answer = unpack(res.value) as KeyCallAnswer
+      return answer.kind === 'done' ? ok(answer.value) : err(answer.problem)
+    })()),
+    close: () => dispatcher.destroy()
+  }
+}
+
+/** Result of a key register operation as it travels to nodes. */
+export type KeyCallAnswer = { kind: 'done', value: unknown } | { kind: 'failed', problem: RegisterError }
+
+function toRegisterError (problem: ControlCallError): RegisterError {
+  return { kind: 'unavailable', outcome: problem.kind === 'lost' ? 'unknown' : 'not-applied', message: problem.message }
+}
+
+/** Awaits a call and sorts its failure by whether the call may have been applied. */
+export function callControl<T> (call: Promise<T>): ResultAsync<T, ControlCallError> {
+  return ResultAsync.fromPromise(call, toCallError)
+}
+
+function causeCodes (cause: unknown): string[] {
+  if (!(cause instanceof Error)) return []
+  const code = 'code' in cause ? [String(cause.code)] : []
+  return [...code, ...causeCodes(cause.cause)]
+}
+
+function rootMessage (cause: Error): string {
+  return cause.cause instanceof Error ? rootMessage(cause.cause) : cause.message
+}
+
+function toCallError (cause: unknown): ControlCallError {
+  if (!(cause instanceof Error)) return { kind: 'lost', message: String(cause) }
+  if (cause instanceof TRPCClientError) {
+    const data: unknown = cause.data
+    if (typeof data === 'object' && data !== null && 'code' in data) return toRefusal(String(data.code), cause.message)
+  }
+  const message = rootMessage(cause) || cause.message
+  return causeCodes(cause).some((code) => NOT_CONNECTED.has(code)) ? { kind: 'unreachable', message } : { kind: 'lost', message }
+}
+
+function toRefusal (code: string, message: string): ControlCallError {
+  // An internal error may come after the call took effect.
+  return code === 'INTERNAL_SERVER_ERROR' ? { kind: 'lost', message } : { kind: 'refused', code, message }
+}
--- /dev/null
+++ b/packages/control/src/api/node-reports.ts
@@ -0,0 +1,59 @@
+import type { Clock } from '@orioleslip/core'
+
+/** What a node said in its last poll. */
+export type NodeReport = {
+  vmId: string
+  /** Revision in effect on the node; -1 before it has any. */
+  revision: number
+  /** `address:port` of the node's caller listener, when the node sends it. */
+  callerAddress?: string
+  /** Time since the poll, in ms. */
+  ageMs: number
+}
+
+export type NodeReports = {
+  report: (vmId: string, revision: number, callerAddress: string | undefined) => void
+  list: () => NodeReport[]
+}
+
+// As long as failed members stay known to the nodes, so that both views agree on which nodes exist.
+const FORGET_AFTER_MS = 600_000
+// The design scale is 770 nodes; the bound keeps made-up VM ids of a faulty node from growing the table.
+const MAX_REPORTS = 10_000
+
+/** Remembers the revision that each polling node reported to this control VM. */
+export function createNodeReports (clock: Clock): NodeReports {
+  const reports = new Map<string, { revision: number, callerAddress: string | undefined, atMs: number }>()
+
+  function forgetOld (): void {
+    for (const [vmId, { atMs }] of reports) {
+      if (clock.nowMs() - atMs <= FORGET_AFTER_MS && reports.size <= MAX_REPORTS) break
+      reports.delete(vmId)
+    }
+  }
+
+  return {
+    report: (vmId, revision, callerAddress) => {
+      // Deleting first keeps the map in order of age.
+      reports.delete(vmId)
+      reports.set(vmId, { revision, callerAddress, atMs: clock.nowMs() })
+      forgetOld()
+    },
+    list: () => {
+      forgetOld()
+      return [...reports].map(([vmId, { revision, callerAddress, atMs }]) => ({
+        vmId, revision, ...(callerAddress === undefined ? {} : { callerAddress }), ageMs: Math.round(clock.nowMs() - atMs)
+      }))
+    }
+  }
+}
+
+/** Merges the reports of several control VMs; the latest one of each node counts. */
+export function mergeReports (lists: readonly NodeReport[][]): NodeReport[] {
+  const latest = new Map<string, NodeReport>()
+  for (const report of lists.flat()) {
+    const known = latest.get(report.vmId)
+    if (known === undefined || report.ageMs < known.ageMs) latest.set(report.vmId, report)
+  }
+  return [...latest.values()].sort((a, b) => (a.vmId < b.vmId ? -1 : 1))
+}
--- /dev/null
+++ b/packages/control/src/api/node-service.ts
@@ -0,0 +1,57 @@
+import type { Clock, ReplicatedLog } from '@orioleslip/core'
+import type { ListsChange, ListsMachine } from '../lists/state-machine.js'
+import type { NodeReports } from './node-reports.js'
+import type { Confirm } from './shared-confirm.js'
+
+/** One long poll. `revision` is the one in effect on the node, -1 before it has any. */
+export type SinceInput = { vmId: string, revision: number, waitMs: number, callerAddress?: string | undefined }
+
+/** Answer to a poll. `confirmed` says that no revision later than the answered one was in effect when the poll was answered. */
+export type SinceAnswer = { change: ListsChange, confirmed: boolean, reason?: string }
+
+export type NodeService = { since: (input: SinceInput, signal?: AbortSignal) => Promise<SinceAnswer> }
+
+/** Longest time that a poll is held, in ms. */
+export const MAX_HOLD_MS = 5000
+// A control VM that loses its quorum answers the polls it holds within this time, and the nodes move on.
+const RECHECK_MS = 1000
+
+/** Creates the operations that nodes call. */
+export function createNodeService (
+  options: { lists: Pick<ReplicatedLog<unknown, unknown>, 'onApplied'>, machine: ListsMachine, confirm: Confirm, reports: NodeReports, clock: Clock }
+): NodeService {
+  const { lists, machine, confirm, reports, clock } = options
+  const waiting = new Set<AbortController>()
+  let revision = machine.document().revision
+  lists.onApplied(() => {
+    if (machine.document().revision === revision) return
+    revision = machine.document().revision
+    for (const waiter of waiting) waiter.abort()
+  })
+
+  async function waitForEdit (ms: number, signal: AbortSignal | undefined): Promise<void> {
+    const waiter = new AbortController()
+    waiting.add(waiter)
+    const cancel = () => waiter.abort()
+    signal?.addEventListener('abort', cancel, { once: true })
+    await clock.sleep(ms, waiter.signal)
+    signal?.removeEventListener('abort', cancel)
+    waiting.delete(waiter)
+  }
+
+  return {
+    since: async (input, signal) => {
+      reports.report(input.vmId, input.revision, input.callerAddress)
+      const untilMs = clock.nowMs() + Math.min(input.waitMs, MAX_HOLD_MS)
+      let current = await confirm()
+      for (;;) {
+        const leftMs = untilMs - clock.nowMs()
+        if (current.isErr() || leftMs <= 0 || signal?.aborted === true || machine.document().revision > input.revision) break
+        await waitForEdit(Math.min(leftMs, RECHECK_MS), signal)
+        current = await confirm()
+      }
+      const reason = current.isErr() ? { reason: current.error.message } : {}
+      return { change: machine.since(input.revision), confirmed: current.isOk(), ...reason }
+    }
+  }
+}
--- /dev/null
+++ b/packages/control/src/api/operator-service.ts
@@ -0,0 +1,66 @@
+import { createHash } from 'node:crypto'
+import { canonicalJson, listsSchema, type Clock, type ListsDocument, type ProposeError, type ReplicatedLog } from '@orioleslip/core'
+import type { Logger } from 'pino'
+import type { AuditEntry } from '../audit/chain.js'
+import type { EditContent, EditReply, ListsCommand, ListsReply } from '../lists/commands.js'
+import type { ListsMachine } from '../lists/state-machine.js'
+import type { EditInput } from './edit-schema.js'
+import type { Confirm } from './shared-confirm.js'
+
+/** Answer to an edit. Only `outcomeUnknown` leaves open whether the edit is accepted; a resend with the same edit id tells. */
+export type EditAnswer = EditReply | ProposeError
+
+/** Lists as this control VM knows them; `confirmed` is false when a later revision may be in effect. */
+export type GetAnswer = { document: ListsDocument, digest: string, confirmed: boolean, reason?: string }
+
+/** An accepted edit. */
+export type HistoryEntry = { revision: number, wallMs: number, operator: string, editId: string, changes: AuditEntry['changes'] }
+
+export type OperatorService = {
+  edit: (operator: string, input: EditInput) => Promise<EditAnswer>
+  get: () => Promise<GetAnswer>
+  /** The latest accepted edits, newest first. */
+  history: (limit: number) => HistoryEntry[]
+}
+
+// Problems kept in the audit trail and sent back; an edit with more of them needs a look at the file anyway.
+const MAX_PROBLEMS = 20
+const MAX_PROBLEM_CHARS = 300
+
+function checkLists (raw: unknown): EditContent {
+  const res = listsSchema.safeParse(raw)
+  if (res.success) return { kind: 'lists', lists: res.data }
+  const problems = res.error.issues.slice(0, MAX_PROBLEMS).map((issue) => `${issue.path.map(String).join('.')}: ${issue.message}`.slice(0, MAX_PROBLEM_CHARS))
+  return { kind: 'invalid', problems, digest: createHash('sha256').update(canonicalJson(raw ?? null)).digest('hex') }
+}
+
+/** Creates the operations that operators call. */
+export function createOperatorService (
+  options: { vmId: string, lists: ReplicatedLog<ListsCommand, ListsReply>, machine: ListsMachine, confirm: Confirm, clock: Clock, log: Logger }
+): OperatorService {
+  const { vmId, lists, machine, confirm, clock, log } = options
+  return {
+    edit: async (operator, input) => {
+      const { editId, baseRevision } = input
+      const content = checkLists(input.lists)
+      const res = await lists.propose({ kind: 'edit', editId, operator, vmId, wallMs: clock.wallMs(), baseRevision, content })
+      const answer = res.match((reply) => reply, (problem) => problem)
+      log.info({ editId, operator, baseRevision, answer }, 'Edit of the lists')
+      if (answer.kind === 'recorded') throw new Error(`the lists log answered edit ${editId} with the reply to another command`)
+      return answer
+    },
+    get: async () => {
+      const current = await confirm()
+      const reason = current.isErr() ? { reason: current.error.message } : {}
+      return { document: machine.document(), digest: machine.digest(), confirmed: current.isOk(), ...reason }
+    },
+    history: (limit) => {
+      const entries: HistoryEntry[] = []
+      for (const { outcome, wallMs, operator, editId = '', changes } of [...machine.auditEntries()].reverse()) {
+        if (entries.length >= limit) break
+        if (outcome.kind === 'accepted') entries.push({ revision: outcome.revision, wallMs, operator, editId, changes })
+      }
+      return entries
+    }
+  }
+}
--- /dev/null
+++ b/packages/control/src/api/server.ts
@@ -0,0 +1,71 @@
+import type { AddressInfo } from 'node:net'
+import type { Server } from 'node:http'
+import { serve } from '@hono/node-server'
+import { fetchRequestHandler } from '@trpc/server/adapters/fetch'
+import { Hono } from 'hono'
+import { bodyLimit } from 'hono/body-limit'
+import { err, ok, type Result } from 'neverthrow'
+import type { Logger } from 'pino'
+import type { Attempt } from './attempt-log.js'
+import type { RequestVerifier } from './request-verifier.js'
+import { createControlRouter, type ControlServices } from './router.js'
+import type { ApiContext } from './trpc.js'
+
+export type ApiServer = { port: number, stop: () => Promise<void> }
+
+export type ListenError = { kind: 'listenFailed', message: string }
+
+// Holds the largest lists and a snapshot chunk of up to 4 MiB in base64.
+const MAX_BODY_BYTES = 8 * 1024 * 1024
+
+/** Starts the control API. Port 0 takes a free port, for tests. */
+export function startApiServer (options: {
+  address: string
+  port: number
+  /** `address:port` that the signatures of requests cover. */
+  authority: () => string
+  verify: RequestVerifier
+  recordAttempt: (attempt: Attempt) => void
+  services: ControlServices
+  log: Logger
+}): Promise<Result<ApiServer, ListenError>> {
+  const { address, authority, verify, recordAttempt, services, log } = options
+  const router = createControlRouter(services)
+  const app = new Hono()
+  app.use('/trpc/*', bodyLimit({ maxSize: MAX_BODY_BYTES, onError: (ctx) => ctx.text('the body exceeds 8 MiB', 413) }))
+  app.all('/trpc/*', async (ctx) => {
+    const { method, url, headers, signal } = ctx.req.raw
+    const { pathname, search } = new URL(url)
+    // The signature covers the body, so the body is read before anything is decided.
+    const body = method === 'GET' ? '' : await ctx.req.text()
+    const caller = verify(headers.get('authorization') ?? undefined, { method, authority: authority(), path: pathname + search, body })
+    const context: ApiContext = { caller, recordAttempt }
+    return await fetchRequestHandler({
+      endpoint: '/trpc',
+      router,
+      req: new Request(url, { method, headers, signal, ...(method === 'GET' ? {} : { body }) }),
+      createContext: () => context,
+      onError: ({ error, path }) => {
+        if (error.code === 'INTERNAL_SERVER_ERROR') log.error({ err: error, path }, 'Control API call failed')
+        else log.debug({ path, code: error.code, reason: error.message }, 'Control API call refused')
+      }
+    })
+  })
+
+  return new Promise((resolve) => {
+    const server = serve({ fetch: app.fetch, hostname: address, port: options.port }) as Server
+    server.once('error', (cause: NodeJS.ErrnoException) => {
+      const remedy = cause.code === 'EADDRINUSE' ? 'stop the other process or change control.apiPort' : 'check vm.address and control.apiPort'
+      resolve(err({ kind: 'listenFailed', message: `cannot listen on ${address}:${options.port} (${cause.code ?? cause.message}); ${remedy}` }))
+    })
+    server.once('listening', () => resolve(ok({
+      port: (server.address() as AddressInfo).port,
+      stop: () => new Promise<void>((resolve) => {
+        server.close(() => resolve())
+        server.closeIdleConnections()
+        // Clients keep connections open between calls; calls under way have been ended by their services.
+        setTimeout(() => server.closeAllConnections(), 500).unref()
+      })
+    })))
+  })
+}
--- /dev/null
+++ b/packages/control/src/api/status-service.ts
@@ -0,0 +1,71 @@
+import type { ReplicaStatus } from '@orioleslip/core'
+import { mergeReports, type NodeReport } from './node-reports.js'
+import type { Confirm } from './shared-confirm.js'
+
+/** What one control VM reports about itself and the nodes that poll it. */
+export type VmReport = { vmId: string, revision: number, groups: ReplicaStatus[], nodes: NodeReport[] }
+
+export type ControlVmStatus =
+  | { vmId: string, authority: string, reachable: true, revision: number, groups: ReplicaStatus[] }
+  | { vmId: string, authority: string, reachable: false, reason: string }
+
+/** A node that doesn't have the revision in effect, or has not polled any reachable control VM lately. */
+export type LaggingNode = NodeReport & { reason: 'behind' | 'silent' }
+
+export type StatusAnswer = {
+  /** Control VM that answered. */
+  vmId: string
+  revision: number
+  /** False when a later revision may be in effect. */
+  confirmed: boolean
+  reason?: string
+  controls: ControlVmStatus[]
+  nodes: NodeReport[]
+  /** Nodes per revision, latest revision first. */
+  inEffect: Array<{ revision: number, nodes: number }>
+  lagging: LaggingNode[]
+}
+
+/** Another control VM of the fleet. */
+export type Peer = { vmId: string, authority: string, report: () => Promise<VmReport> }
+
+// A node polls at least every 5 s; after three missed polls it counts as silent.
+const SILENT_AFTER_MS = 15_000
+
+/** Creates the status over all control VMs; `own` reports this one. */
+export function createStatusService (
+  options: { authority: string, own: () => VmReport, peers: readonly Peer[], confirm: Confirm }
+): () => Promise<StatusAnswer> {
+  const { authority, own, peers, confirm } = options
+
+  async function ask (peer: Peer): Promise<{ status: ControlVmStatus, nodes: NodeReport[] }> {
+    const { vmId, authority } = peer
+    try {
+      const { revision, groups, nodes } = await peer.report()
+      return { status: { vmId, authority, reachable: true, revision, groups }, nodes }
+    } catch (err) {
+      return { status: { vmId, authority, reachable: false, reason: err instanceof Error ? err.message : String(err) }, nodes: [] }
+    }
+  }
+
+  return async () => {
+    const [current, ...answers] = await Promise.all([confirm(), ...peers.map(ask)])
+    const { vmId, revision, groups, nodes: ownNodes } = own()
+    const nodes = mergeReports([ownNodes, ...answers.map((answer) => answer.nodes)])
+    const counts = new Map<number, number>()
+    for (const node of nodes) counts.set(node.revision, (counts.get(node.revision) ?? 0) + 1)
+    return {
+      vmId,
+      revision,
+      confirmed: current.isOk(),
+      ...(current.isErr() ? { reason: current.error.message } : {}),
+      controls: [{ vmId, authority, reachable: true, revision, groups }, ...answers.map((answer) => answer.status)],
+      nodes,
+      inEffect: [...counts].map(([rev, count]) => ({ revision: rev, nodes: count })).sort((a, b) => b.revision - a.revision),
+      lagging: nodes.flatMap((node): LaggingNode[] => {
+        if (node.ageMs > SILENT_AFTER_MS) return [{ ...node, reason: 'silent' }]
+        return node.revision < revision ? [{ ...node, reason: 'behind' }] : []
+      })
+    }
+  }
+}
--- /dev/null
+++ b/packages/control/src/api/trpc.ts
@@ -0,0 +1,45 @@
+import { initTRPC, TRPCError } from '@trpc/server'
+import type { Attempt } from './attempt-log.js'
+import type { Caller } from './request-verifier.js'
+
+export type ApiContext = { caller: Caller, recordAttempt: (attempt: Attempt) => void }
+
+const t = initTRPC.context<ApiContext>().create({ isDev: false })
+
+export const router = t.router
+
+function denied (caller: Caller, wanted: string): TRPCError {
+  return caller.kind === 'unauthenticated'
+    ? new TRPCError({ code: 'UNAUTHORIZED', message: caller.reason })
+    : new TRPCError({ code: 'FORBIDDEN', message: `this needs ${wanted}` })
+}
+
+/** Procedure for processes of the fleet. */
+export const fleetProcedure = t.procedure.use(({ ctx, next }) => {
+  if (ctx.caller.kind !== 'fleet') throw denied(ctx.caller, 'the fleet key')
+  return next({ ctx: { caller: ctx.caller } })
+})
+
+/** Procedure for operators that changes nothing. */
+export const operatorProcedure = t.procedure.use(({ ctx, next }) => {
+  if (ctx.caller.kind !== 'operator') throw denied(ctx.caller, 'an operator key')
+  return next({ ctx: { caller: ctx.caller } })
+})
+
+/** Procedure for operators that changes something: attempts without an operator's key are audited. */
+export function changeProcedure (action: Attempt['action']) {
+  return t.procedure.use(async ({ ctx, next, getRawInput }) => {
+    const { caller } = ctx
+    if (caller.kind === 'operator') return next({ ctx: { caller } })
+    const input = await getRawInput()
+    const editId = typeof input === 'object' && input !== null && 'editId' in input ? String(input.editId).slice(0, 64) : undefined
+    ctx.recordAttempt({
+      operator: caller.kind === 'fleet' ? 'fleet' : caller.claimed,
+      action,
+      ...(editId === undefined ? {} : { editId }),
+      unauthenticated: caller.kind === 'unauthenticated',
+      reason: caller.kind === 'fleet' ? 'the fleet key does not allow changes' : caller.reason
+    })
+    throw denied(caller, 'an operator key')
+  })
+}
--- /dev/null
+++ b/packages/control/src/audit/archive.ts
@@ -0,0 +1,144 @@
+import { mkdir, open, readdir, readFile, truncate } from 'node:fs/promises'
+import { join } from 'node:path'
+import type { Logger } from 'pino'
+import { GENESIS, verifyChain, type AuditAnchor, type AuditEntry } from './chain.js'
+
+/** Append-only files with the whole audit trail of one control VM, one JSON line per entry. */
+export type AuditArchive = {
+  /** Takes an entry in order of sequence; entries that are already stored are passed over. */
+  offer: (entry: AuditEntry) => void
+  /** Entries after a sequence number, oldest first; fewer than `limit` where entries are missing. */
+  read: (afterSeq: number, limit: number) => Promise<AuditEntry[]>
+  last: () => AuditAnchor
+  /** The earliest entry that waits because entries before it are missing. */
+  gapBefore: () => AuditEntry | undefined
+  /** Adds missing entries fetched from another control VM; false when they don't fit the chain. */
+  fill: (entries: AuditEntry[]) => Promise<boolean>
+  /** Waits until everything offered is synced to disk. */
+  close: () => Promise<void>
+}
+
+// 1000 entries of about 1 KB: a page is found by reading one or two files.
+const ENTRIES_PER_FILE = 1000
+// Entries that wait for the disk or for missing ones before them; later ones are fetched from another control VM.
+const MAX_HELD = 2000
+const FILE_PATTERN = /^audit-(\d{12})\.jsonl$/
+
+/**
+ * Opens the archive in a folder. It is derived from the replicated trail, so a torn or damaged end is cut off and taken again
+ * from the state machine's window or from another control VM.
+ */
+export async function openAuditArchive (dir: string, log: Logger): Promise<AuditArchive> {
+  await mkdir(dir, { recursive: true })
+  let files = (await readdir(dir)).flatMap((name) => FILE_PATTERN.exec(name)?.[1] ?? []).map(Number).sort((a, b) => a - b)
+  const fileOf = (firstSeq: number) => join(dir, `audit-${String(firstSeq).padStart(12, '0')}.jsonl`)
+  const held = new Map<number, AuditEntry>()
+  let last = GENESIS
+  let queue: Promise<void> = Promise.resolve()
+  let queued = 0
+
+  /** Entries of a file up to the first line that can't be read, and the length of that part in bytes. */
+  async function readFileEntries (firstSeq: number): Promise<{ entries: AuditEntry[], goodBytes: number, bytes: number }> {
+    const text = await readFile(fileOf(firstSeq), 'utf8')
+    const entries: AuditEntry[] = []
+    let goodBytes = 0
+    for (const line of text.split('\n').slice(0, -1)) {
+      try {
+        entries.push(JSON.parse(line) as AuditEntry)
+      } catch {
+        break
+      }
+      goodBytes += Buffer.byteLength(line) + 1
+    }
+    return { entries, goodBytes, bytes: Buffer.byteLength(text) }
+  }
+
+  async function recover (): Promise<void> {
+    const firstSeq = files.at(-1)
+    if (firstSeq === undefined) return
+    const { entries, goodBytes, bytes } = await readFileEntries(firstSeq)
+    if (goodBytes < bytes) {
+      log.warn({ file: fileOf(firstSeq), offset: goodBytes }, 'The audit archive ends in an incomplete line; it is cut off and written again')
+      await truncate(fileOf(firstSeq), goodBytes)
+    }
+    const entry = entries.at(-1)
+    if (entry !== undefined) last = { seq: entry.seq, hash: entry.hash }
+    else if (firstSeq > 1) {
+      const previous = await readFileEntries(files.at(-2) ?? 0)
+      const end = previous.entries.at(-1)
+      if (end !== undefined) last = { seq: end.seq, hash: end.hash }
+    }
+  }
+
+  async function write (entries: AuditEntry[]): Promise<void> {
+    let rest = entries
+    while (rest.length > 0) {
+      if (files.length === 0 || rest[0]!.seq - files.at(-1)! >= ENTRIES_PER_FILE) files = [...files, rest[0]!.seq]
+      const firstSeq = files.at(-1)!
+      const batch = rest.filter((entry) => entry.seq - firstSeq < ENTRIES_PER_FILE)
+      const file = await open(fileOf(firstSeq), 'a')
+      try {
+        await file.writeFile(batch.map((entry) => JSON.stringify(entry) + '\n').join(''))
+        await file.datasync()
+      } finally {
+        await file.close()
+      }
+      const { seq, hash } = batch.at(-1)!
+      last = { seq, hash }
+      rest = rest.slice(batch.length)
+    }
+  }
+
+  async function writeHeld (): Promise<void> {
+    for (;;) {
+      const ready: AuditEntry[] = []
+      for (let seq = last.seq + 1; held.has(seq); seq++) ready.push(held.get(seq)!)
+      if (ready.length === 0) break
+      await write(ready)
+      for (const entry of ready) held.delete(entry.seq)
+    }
+    for (const seq of held.keys()) if (seq <= last.seq) held.delete(seq)
+  }
+
+  function schedule (): Promise<void> {
+    queued++
+    queue = queue.then(writeHeld).catch((err: unknown) => {
+      log.error({ err, dir }, 'Cannot write the audit archive; check the disk. Entries stay in memory and are written with the next one')
+    }).finally(() => { queued-- })
+    return queue
+  }
+
+  await recover()
+  return {
+    offer: (entry) => {
+      if (entry.seq <= last.seq || held.size >= MAX_HELD) return
+      held.set(entry.seq, entry)
+      if (queued < 2) void schedule()
+    },
+    read: async (afterSeq, limit) => {
+      const found: AuditEntry[] = []
+      const start = files.filter((firstSeq) => firstSeq <= afterSeq + 1).length - 1
+      for (const firstSeq of start < 0 ? [] : files.slice(start)) {
+        if (found.length >= limit) break
+        const { entries } = await readFileEntries(firstSeq)
+        found.push(...entries.filter((entry) => entry.seq > afterSeq))
+      }
+      return found.slice(0, limit)
+    },
+    last: () => last,
+    gapBefore: () => {
+      const first = Math.min(...held.keys())
+      return first > last.seq + 1 ? held.get(first) : undefined
+    },
+    fill: async (entries) => {
+      const fresh = entries.filter((entry) => entry.seq > last.seq)
+      if ('kind' in verifyChain(last, fresh)) return false
+      for (const entry of fresh) held.set(entry.seq, entry)
+      await schedule()
+      return true
+    },
+    close: async () => {
+      while (queued > 0) await queue
+    }
+  }
+}
--- /dev/null
+++ b/packages/control/src/lists/state-machine.ts
@@ -0,0 +1,133 @@
+import {
+  diffLists, EMPTY_DOCUMENT, listsDigest, type ListsDelta, type ListsDocument, type StateMachine
+} from '@orioleslip/core'
+import type { AuditAnchor, AuditEntry } from '../audit/chain.js'
+import { createAuditWindow } from '../audit/window.js'
+import { editDigest, type EditCommand, type EditReply, type EditResult, type ListsCommand, type ListsReply, type ListsState } from './commands.js'
+
+/** What a node at some revision needs to reach the one in effect. */
+export type ListsChange =
+  | { kind: 'unchanged', revision: number }
+  | { kind: 'deltas', deltas: ListsDelta[] }
+  | { kind: 'full', document: ListsDocument }
+
+export type ListsMachine = StateMachine<ListsCommand, ListsReply, ListsState> & {
+  document: () => ListsDocument
+  digest: () => string
+  /** Changes after a revision; the full document when the deltas in between are gone or larger than it. */
+  since: (revision: number) => ListsChange
+  auditAnchor: () => AuditAnchor
+  auditHead: () => AuditAnchor
+  auditEntries: () => readonly AuditEntry[]
+}
+
+/**
+ * Edit ids remembered, about three days at the design figure of 570 changes a day. A resend after that is evaluated again but can't
+ * be applied twice: an accepted edit raised the revision above its own base revision for good, so it gets `conflict`.
+ */
+export const MAX_EDIT_RESULTS = 2000
+
+const MAX_DELTAS = 300
+const MAX_DELTA_BYTES = 1024 * 1024
+
+/** Creates the state machine of the lists. `onAudit` is called with each new audit entry, also during replay. */
+export function createListsMachine (onAudit: (entry: AuditEntry) => void = () => {}): ListsMachine {
+  const audit = createAuditWindow()
+  let document = EMPTY_DOCUMENT
+  let digest = listsDigest(document.lists)
+  let documentBytes = sizeOf(document)
+  let deltas: Array<{ delta: ListsDelta, bytes: number }> = []
+  let deltaBytes = 0
+  let results = new Map<string, EditResult>()
+
+  function sizeOf (value: unknown): number {
+    return Buffer.byteLength(JSON.stringify(value))
+  }
+
+  function keepDelta (delta: ListsDelta): void {
+    const bytes = sizeOf(delta)
+    deltas.push({ delta, bytes })
+    deltaBytes += bytes
+    while (deltas.length > MAX_DELTAS || (deltaBytes > MAX_DELTA_BYTES && deltas.length > 0)) deltaBytes -= deltas.shift()!.bytes
+  }
+
+  function remember (result: EditResult): void {
+    results.set(result.editId, result)
+    if (results.size > MAX_EDIT_RESULTS) results.delete(results.keys().next().value!)
+  }
+
+  function evaluate (cmd: EditCommand): EditReply {
+    if (cmd.content.kind === 'invalid') return { kind: 'invalid', problems: cmd.content.problems }
+    if (cmd.baseRevision > document.revision) {
+      const problem = `baseRevision ${cmd.baseRevision} does not exist yet; revision ${document.revision} is in effect`
+      return { kind: 'invalid', problems: [problem] }
+    }
+    if (cmd.baseRevision !== document.revision) return { kind: 'conflict', revision: document.revision }
+    return { kind: 'accepted', revision: document.revision + 1 }
+  }
+
+  function recordEdit (cmd: EditCommand, reply: EditReply, changes: ListsDelta['changes']): void {
+    const { wallMs, vmId, operator, editId, baseRevision } = cmd
+    const outcome = reply.kind === 'editIdReused' ? { kind: reply.kind } : reply
+    onAudit(audit.append({ wallMs, vmId, operator, action: 'edit', editId, baseRevision, changes, outcome }))
+  }
+
+  function applyEdit (cmd: EditCommand): EditReply {
+    const cmdDigest = editDigest(cmd)
+    const known = results.get(cmd.editId)
+    if (known?.digest === cmdDigest) return known.reply
+    if (known !== undefined) {
+      const message = `edit id "${cmd.editId}" was used for another edit; choose a new id`
+      const reply: EditReply = { kind: 'editIdReused', message }
+      recordEdit(cmd, reply, [])
+      return reply
+    }
+    const reply = evaluate(cmd)
+    const changes = cmd.content.kind === 'lists' ? diffLists(document.lists, cmd.content.lists) : []
+    if (reply.kind === 'accepted' && cmd.content.kind === 'lists') {
+      const from = document.revision
+      document = { revision: reply.revision, lists: cmd.content.lists }
+      digest = listsDigest(document.lists)
+      documentBytes = sizeOf(document)
+      keepDelta({ from, to: document.revision, digest, changes })
+    }
+    remember({ editId: cmd.editId, digest: cmdDigest, reply })
+    recordEdit(cmd, reply, changes)
+    return reply
+  }
+
+  function since (revision: number): ListsChange {
+    if (revision >= document.revision) return { kind: 'unchanged', revision: document.revision }
+    const wanted = deltas.filter(({ delta }) => delta.from >= revision)
+    const bytes = wanted.reduce((sum, entry) => sum + entry.bytes, 0)
+    if (wanted[0]?.delta.from !== revision || bytes > documentBytes) return { kind: 'full', document }
+    return { kind: 'deltas', deltas: wanted.map(({ delta }) => delta) }
+  }
+
+  return {
+    apply: (_index, cmd) => {
+      if (cmd.kind === 'edit') return applyEdit(cmd)
+      onAudit(audit.append(cmd.entry))
+      return { kind: 'recorded' }
+    },
+    snapshot: () => ({ document, deltas: deltas.map(({ delta }) => delta), results: [...results.values()], audit: audit.snapshot() }),
+    restore: (state) => {
+      document = state.document
+      digest = listsDigest(document.lists)
+      documentBytes = sizeOf(document)
+      deltas = []
+      deltaBytes = 0
+      for (const delta of state.deltas) keepDelta(delta)
+      results = new Map(state.results.map((result) => [result.editId, result]))
+      audit.restore(state.audit)
+      // The archive takes the entries that it doesn't have yet.
+      for (const entry of state.audit.entries) onAudit(entry)
+    },
+    document: () => document,
+    digest: () => digest,
+    since,
+    auditAnchor: audit.anchor,
+    auditHead: audit.head,
+    auditEntries: audit.entries
+  }
+}
