Add a working path from the operator's command to the lists of the nodes

Cause: operators need to edit the lists, and nodes to get them, over the replicated log. Change: startControl wires log, state machine, audit archive and API; orioleslipd runs the control role and checks settings; the node polls the lists; the orioleslip command edits, reads, shows status and verifies the audit trail.

--- /dev/null
+++ b/packages/cli/src/commands/explain.ts
@@ -0,0 +1,50 @@
+import { WELL_KNOWN_PREFIX } from '@orioleslip/core'
+import type { StatusAnswer } from '@orioleslip/control/client'
+import { err, ok, type Result } from 'neverthrow'
+import { fetch } from 'undici'
+import type { ControlCalls } from '../control-calls.js'
+import { EXIT, type CliError, type Output } from '../exit-codes.js'
+
+const TIMEOUT_MS = 3000
+const PARALLEL = 32
+
+type Found = { node: string, record: unknown }
+
+async function askNode (node: string, requestId: string): Promise<Found | { node: string, problem?: string }> {
+  const url = `http://${node}${WELL_KNOWN_PREFIX}explain/${encodeURIComponent(requestId)}`
+  try {
+    const res = await fetch(url, { signal: AbortSignal.timeout(TIMEOUT_MS) })
+    if (res.status === 200) return { node, record: await res.json() }
+    await res.body?.cancel()
+    return res.status === 404 ? { node } : { node, problem: `status ${res.status}` }
+  } catch (cause) {
+    return { node, problem: cause instanceof Error ? cause.message : String(cause) }
+  }
+}
+
+/** `explain`: asks the given nodes, or all that poll the control VMs, for their records of a request. */
+export async function explainRequest (calls: ControlCalls, requestId: string, named: string[] | undefined): Promise<Result<Output, CliError>> {
+  let nodes = named
+  if (nodes === undefined) {
+    const status = await calls.ask<StatusAnswer>((api) => api.status.query() as Promise<StatusAnswer>)
+    if (status.isErr()) return err(status.error)
+    nodes = status.value.nodes.flatMap(({ callerAddress }) => callerAddress ?? [])
+  }
+  const found: Found[] = []
+  const problems: string[] = []
+  for (let i = 0; i < nodes.length; i += PARALLEL) {
+    for (const answer of await Promise.all(nodes.slice(i, i + PARALLEL).map((node) => askNode(node, requestId)))) {
+      if ('record' in answer) found.push(answer)
+      else if (answer.problem !== undefined) problems.push(`${answer.node}: ${answer.problem}`)
+    }
+  }
+  if (found.length === 0) {
+    const unasked = problems.length === 0 ? '' : `; ${problems.length} nodes did not answer:\n  ${problems.slice(0, 10).join('\n  ')}`
+    return err({
+      exitCode: EXIT.unavailable,
+      message: `no record of request ${requestId} on ${nodes.length} nodes; records are kept for the latest requests only, or name a node with --node${unasked}`
+    })
+  }
+  const text = found.map(({ node, record }) => `${node}\n${JSON.stringify(record, null, 2)}`).join('\n')
+  return ok({ text, json: { requestId, found, problems } })
+}
--- /dev/null
+++ b/packages/cli/src/commands/lists-edit.ts
@@ -0,0 +1,95 @@
+import { randomUUID } from 'node:crypto'
+import type { EditAnswer, GetAnswer } from '@orioleslip/control/client'
+import { diffLists, type Clock, type Lists } from '@orioleslip/core'
+import { err, ok, type Result } from 'neverthrow'
+import type { ControlCalls, Verdict } from '../control-calls.js'
+import { EXIT, type CliError, type ExitCode, type Output } from '../exit-codes.js'
+import { formatChanges } from '../format-changes.js'
+import { checkLists, readListFiles, type ListFileOptions } from '../list-files.js'
+import { getCurrent } from './lists-read.js'
+import { waitForRevision } from './wait.js'
+
+export type EditOptions = ListFileOptions & { base?: number, editId?: string, wait?: boolean }
+
+type FinalAnswer = Extract<EditAnswer, { kind: 'accepted' | 'conflict' | 'invalid' | 'editIdReused' }>
+
+function judge (answer: EditAnswer): Verdict<FinalAnswer> {
+  switch (answer.kind) {
+    case 'accepted':
+    case 'conflict':
+    case 'invalid':
+    case 'editIdReused':
+      return { kind: 'take', value: answer }
+    case 'notLeader':
+    case 'refused':
+      return { kind: 'next', message: answer.message, maybeApplied: false }
+    case 'outcomeUnknown':
+      return { kind: 'next', message: answer.message, maybeApplied: true }
+  }
+}
+
+/** The lists to send. The one for which no file was given is taken from the lists in effect. */
+function completeLists (files: Partial<Lists>, current: Result<GetAnswer, CliError>, base: number): Result<Lists, CliError> {
+  if (files.customers !== undefined && files.plans !== undefined) return checkLists({ customers: files.customers, plans: files.plans })
+  if (current.isErr()) return err(current.error)
+  const { revision, lists } = current.value.document
+  if (revision !== base) {
+    return err({
+      exitCode: EXIT.conflict,
+      message: `revision ${revision} is in effect, the file was made from ${base}; get the lists again, repeat the change, and edit`
+    })
+  }
+  return checkLists({ customers: files.customers ?? lists.customers, plans: files.plans ?? lists.plans })
+}
+
+function describe (answer: FinalAnswer, editId: string): { exitCode: ExitCode, text: string } {
+  switch (answer.kind) {
+    case 'accepted':
+      return { exitCode: EXIT.ok, text: `accepted as revision ${answer.revision}` }
+    case 'conflict':
+      return {
+        exitCode: EXIT.conflict,
+        text: `conflict: another edit came first, revision ${answer.revision} is in effect and this edit was not applied. ` +
+          'Get the lists again ("lists get --out DIR"), repeat the change, and edit. "lists history" shows the other edit.'
+      }
+    case 'invalid':
+      return { exitCode: EXIT.usage, text: ['the control VM called the edit invalid:', ...answer.problems].join('\n  ') }
+    case 'editIdReused':
+      return { exitCode: EXIT.usage, text: `edit id ${editId}: ${answer.message}` }
+  }
+}
+
+/** Sends an edit. Repeats, here and by a second command with the same edit id, never apply it twice. */
+export async function editLists (
+  calls: ControlCalls, options: EditOptions, clock: Clock, note: (line: string) => void
+): Promise<Result<Output, CliError>> {
+  const files = readListFiles(options)
+  if (files.isErr()) return err(files.error)
+  const baseRevision = options.base ?? files.value.revision
+  if (baseRevision === undefined) {
+    return err({ exitCode: EXIT.usage, message: 'the files name no revision; start from "lists get --out DIR", or give the revision with --base' })
+  }
+  const current = await getCurrent(calls)
+  // With a wrong key the edit is sent all the same, so that the attempt is in the audit trail.
+  if (current.isErr() && current.error.exitCode !== EXIT.denied) return err(current.error)
+  const lists = completeLists(files.value, current, baseRevision)
+  if (lists.isErr()) return err(lists.error)
+  const editId = options.editId ?? randomUUID()
+  if (current.isOk()) for (const line of formatChanges(diffLists(current.value.document.lists, lists.value))) note(line)
+  // Printed before the edit is sent, so that it is known when this command is interrupted.
+  note(`edit id ${editId} (repeat with --edit-id ${editId} if the answer is lost)`)
+
+  const answer = await calls.ask((api) => api.edit.mutate({ editId, baseRevision, lists: lists.value }) as Promise<EditAnswer>, judge)
+  if (answer.isErr()) {
+    const { message, exitCode } = answer.error
+    const remedy = exitCode === EXIT.unknown ? `\nrun the same command with --edit-id ${editId}: it is applied at most once` : ''
+    return err({ exitCode, message: message + remedy, json: { kind: exitCode === EXIT.unknown ? 'unknown' : 'notApplied', editId } })
+  }
+  const { exitCode, text } = describe(answer.value, editId)
+  const json = { ...answer.value, editId, baseRevision }
+  if (answer.value.kind !== 'accepted' || options.wait !== true) return ok({ text, json, exitCode })
+  const waited = await waitForRevision(calls, answer.value.revision, clock)
+  return waited.map((result) => ({
+    text: `${text}\n${result.text}`, json: { ...json, ...result.json }, exitCode: result.complete ? EXIT.ok : EXIT.lagging
+  }))
+}
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,1 +1,2 @@
-export {}
+export { EXIT } from './exit-codes.js'
+export { runCli, type Io } from './program.js'
--- a/packages/control/src/api/attempt-log.ts
+++ b/packages/control/src/api/attempt-log.ts
@@ -41,7 +41,7 @@
     }
     suppressed = 0
     log.warn({ audit: entry }, 'Refused a change')
-    void lists.propose({ kind: 'record', entry })
-      .mapErr((problem) => log.error({ audit: entry, problem }, 'The refused change is not in the audit trail; only this log has it'))
+    lists.propose({ kind: 'record', entry }).match(() => {}, (problem) =>
+      log.error({ audit: entry, problem }, 'The refused change is not in the audit trail; only this log has it'))
   }
 }
--- a/packages/control/src/api/client.ts
+++ b/packages/control/src/api/client.ts
@@ -2,7 +2,7 @@
 import { authorizeRequest, type Clock, type Principal, type RegisterError } from '@orioleslip/core'
 import { err, ok, ResultAsync, type Result } from 'neverthrow'
 import { Agent, fetch } from 'undici'
-import { pack, unpack } from './packed.js'
+import type { KeyCallAnswer, KeyProcedure } from './key-calls.js'
 import type { ControlRouter } from './router.js'
 
 /** Failure of a control API call. */
@@ -18,7 +18,7 @@
   authority: string
   api: TRPCClient<ControlRouter>
   /** Calls a key register operation, for the register client of nodes. */
-  keyCall: (procedure: string, input: unknown) => ResultAsync<unknown, RegisterError>
+  keyCall: (procedure: KeyProcedure, input: unknown) => ResultAsync<unknown, RegisterError>
   close: () => Promise<void>
 }
 
@@ -63,18 +63,14 @@
     authority,
     api,
     keyCall: (procedure, input) => new ResultAsync((async (): Promise<Result<unknown, RegisterError>> => {
-      const res = await callControl(api.keys.mutate({ procedure, packed: pack(input) }))
+      const res = await callControl<KeyCallAnswer>(api.keys[procedure].mutate(input))
       if (res.isErr()) return err(toRegisterError(res.error))
-      const answer = unpack(res.value) as KeyCallAnswer
-      return answer.kind === 'done' ? ok(answer.value) : err(answer.problem)
+      return res.value.kind === 'done' ? ok(res.value.value) : err(res.value.problem)
     })()),
     close: () => dispatcher.destroy()
   }
 }
 
-/** Result of a key register operation as it travels to nodes. */
-export type KeyCallAnswer = { kind: 'done', value: unknown } | { kind: 'failed', problem: RegisterError }
-
 function toRegisterError (problem: ControlCallError): RegisterError {
   return { kind: 'unavailable', outcome: problem.kind === 'lost' ? 'unknown' : 'not-applied', message: problem.message }
 }
--- a/packages/control/src/api/node-service.ts
+++ b/packages/control/src/api/node-service.ts
@@ -18,16 +18,29 @@
 
 /** Creates the operations that nodes call. */
 export function createNodeService (
-  options: { lists: Pick<ReplicatedLog<unknown, unknown>, 'onApplied'>, machine: ListsMachine, confirm: Confirm, reports: NodeReports, clock: Clock }
+  options: {
+    lists: Pick<ReplicatedLog<unknown, unknown>, 'onApplied'>
+    machine: ListsMachine
+    confirm: Confirm
+    reports: NodeReports
+    clock: Clock
+    /** Aborts when the process stops; held polls are then answered. */
+    stopping: AbortSignal
+  }
 ): NodeService {
-  const { lists, machine, confirm, reports, clock } = options
+  const { lists, machine, confirm, reports, clock, stopping } = options
   const waiting = new Set<AbortController>()
   let revision = machine.document().revision
   lists.onApplied(() => {
     if (machine.document().revision === revision) return
     revision = machine.document().revision
-    for (const waiter of waiting) waiter.abort()
+    wakeAll()
   })
+  stopping.addEventListener('abort', wakeAll, { once: true })
+
+  function wakeAll (): void {
+    for (const waiter of waiting) waiter.abort()
+  }
 
   async function waitForEdit (ms: number, signal: AbortSignal | undefined): Promise<void> {
     const waiter = new AbortController()
@@ -46,12 +59,16 @@
       let current = await confirm()
       for (;;) {
         const leftMs = untilMs - clock.nowMs()
-        if (current.isErr() || leftMs <= 0 || signal?.aborted === true || machine.document().revision > input.revision) break
+        const isNews = machine.document().revision > input.revision
+        if (current.isErr() || leftMs <= 0 || signal?.aborted === true || stopping.aborted || isNews) break
         await waitForEdit(Math.min(leftMs, RECHECK_MS), signal)
         current = await confirm()
       }
-      const reason = current.isErr() ? { reason: current.error.message } : {}
-      return { change: machine.since(input.revision), confirmed: current.isOk(), ...reason }
+      const change = machine.since(input.revision)
+      if (current.isErr()) return { change, confirmed: false, reason: current.error.message }
+      // The node moves on at once instead of polling a process that is about to close its listener.
+      if (stopping.aborted) return { change, confirmed: false, reason: 'the control process is stopping' }
+      return { change, confirmed: true }
     }
   }
 }
--- a/packages/control/src/api/operator-service.ts
+++ b/packages/control/src/api/operator-service.ts
@@ -30,14 +30,20 @@
 function checkLists (raw: unknown): EditContent {
   const res = listsSchema.safeParse(raw)
   if (res.success) return { kind: 'lists', lists: res.data }
-  const problems = res.error.issues.slice(0, MAX_PROBLEMS).map((issue) => `${issue.path.map(String).join('.')}: ${issue.message}`.slice(0, MAX_PROBLEM_CHARS))
+  const problems = res.error.issues.slice(0, MAX_PROBLEMS).map((issue) =>
+    `${issue.path.map(String).join('.')}: ${issue.message}`.slice(0, MAX_PROBLEM_CHARS))
   return { kind: 'invalid', problems, digest: createHash('sha256').update(canonicalJson(raw ?? null)).digest('hex') }
 }
 
 /** Creates the operations that operators call. */
-export function createOperatorService (
-  options: { vmId: string, lists: ReplicatedLog<ListsCommand, ListsReply>, machine: ListsMachine, confirm: Confirm, clock: Clock, log: Logger }
-): OperatorService {
+export function createOperatorService (options: {
+  vmId: string
+  lists: Pick<ReplicatedLog<ListsCommand, ListsReply>, 'propose'>
+  machine: ListsMachine
+  confirm: Confirm
+  clock: Clock
+  log: Logger
+}): OperatorService {
   const { vmId, lists, machine, confirm, clock, log } = options
   return {
     edit: async (operator, input) => {
@@ -56,9 +62,9 @@
     },
     history: (limit) => {
       const entries: HistoryEntry[] = []
-      for (const { outcome, wallMs, operator, editId = '', changes } of [...machine.auditEntries()].reverse()) {
+      for (const { action, outcome, wallMs, operator, editId = '', changes } of [...machine.auditEntries()].reverse()) {
         if (entries.length >= limit) break
-        if (outcome.kind === 'accepted') entries.push({ revision: outcome.revision, wallMs, operator, editId, changes })
+        if (action === 'edit' && outcome.kind === 'accepted') entries.push({ revision: outcome.revision, wallMs, operator, editId, changes })
       }
       return entries
     }
--- a/packages/control/src/api/router.ts
+++ b/packages/control/src/api/router.ts
@@ -2,15 +2,14 @@
 import type { AuditEntry } from '../audit/chain.js'
 import type { AuditReport } from '../audit/trail.js'
 import { editInputSchema } from './edit-schema.js'
+import type { KeyCalls } from './key-calls.js'
 import { MAX_HOLD_MS, type NodeService } from './node-service.js'
 import type { OperatorService } from './operator-service.js'
-import { packedSchema } from './packed.js'
-import type { ReplicaService } from './replica-service.js'
 import type { StatusAnswer, VmReport } from './status-service.js'
 import { changeProcedure, fleetProcedure, operatorProcedure, router } from './trpc.js'
 
 /** Result of creating the first configuration of the log groups. */
-export type InitAnswer = { kind: 'initialized' } | { kind: 'refused', message: string }
+export type InitAnswer = { kind: 'initialized' | 'exists' } | { kind: 'refused', message: string }
 
 export type ControlServices = {
   operator: OperatorService
@@ -19,23 +18,24 @@
   auditPage: (afterSeq: number, limit: number) => Promise<AuditEntry[]>
   auditVerify: () => Promise<AuditReport>
   node: NodeService
-  replica: ReplicaService
+  /** Passes a replication message to the log of its group and gives the reply. Messages are opaque here. */
+  replicaMessage: (group: string, message: unknown) => Promise<unknown>
   vmReport: () => VmReport
-  /** Runs a key register operation on packed input and gives the packed result. */
-  keyCall: (procedure: string, packed: string) => Promise<string>
+  keys: KeyCalls
 }
 
 const auditPageSchema = z.strictObject({ afterSeq: z.number().int().min(0), limit: z.number().int().min(1).max(500) })
+const historySchema = z.strictObject({ limit: z.number().int().min(1).max(1000) })
 const group = z.string().regex(/^[a-z]{1,32}$/)
 
 /** Creates the routes of the control API. */
 export function createControlRouter (services: ControlServices) {
-  const { operator, status, clusterInit, auditPage, auditVerify, node, replica, vmReport, keyCall } = services
+  const { operator, status, clusterInit, auditPage, auditVerify, node, replicaMessage, vmReport, keys } = services
   return router({
     edit: changeProcedure('edit').input(editInputSchema).mutation(({ ctx, input }) => operator.edit(ctx.caller.name, input)),
     clusterInit: changeProcedure('clusterInit').mutation(({ ctx }) => clusterInit(ctx.caller.name)),
     get: operatorProcedure.query(() => operator.get()),
-    history: operatorProcedure.input(z.strictObject({ limit: z.number().int().min(1).max(1000) })).query(({ input }) => operator.history(input.limit)),
+    history: operatorProcedure.input(historySchema).query(({ input }) => operator.history(input.limit)),
     audit: operatorProcedure.input(auditPageSchema).query(({ input }) => auditPage(input.afterSeq, input.limit)),
     auditVerify: operatorProcedure.query(() => auditVerify()),
     status: operatorProcedure.query(() => status()),
@@ -47,11 +47,16 @@
         callerAddress: z.string().max(64).optional()
       })).query(({ input, signal }) => node.since(input, signal))
     }),
-    keys: fleetProcedure.input(z.strictObject({ procedure: z.string().max(32), packed: packedSchema }))
-      .mutation(({ input }) => keyCall(input.procedure, input.packed)),
+    // The register checks the input of its procedures.
+    keys: router({
+      claim: fleetProcedure.input(z.unknown()).mutation(({ input }) => keys('claim', input)),
+      finish: fleetProcedure.input(z.unknown()).mutation(({ input }) => keys('finish', input)),
+      release: fleetProcedure.input(z.unknown()).mutation(({ input }) => keys('release', input)),
+      cancel: fleetProcedure.input(z.unknown()).mutation(({ input }) => keys('cancel', input))
+    }),
     replica: router({
-      message: fleetProcedure.input(z.strictObject({ group, packed: packedSchema })).mutation(({ input }) => replica.message(input.group, input.packed)),
-      forward: fleetProcedure.input(z.strictObject({ group, packed: packedSchema })).mutation(({ input }) => replica.forward(input.group, input.packed)),
+      message: fleetProcedure.input(z.strictObject({ group, message: z.unknown() }))
+        .mutation(({ input }) => replicaMessage(input.group, input.message)),
       report: fleetProcedure.query(() => vmReport()),
       auditPage: fleetProcedure.input(auditPageSchema).query(({ input }) => auditPage(input.afterSeq, input.limit))
     })
--- a/packages/control/src/api/server.ts
+++ b/packages/control/src/api/server.ts
@@ -17,13 +17,16 @@
 
 // Holds the largest lists and a snapshot chunk of up to 4 MiB in base64.
 const MAX_BODY_BYTES = 8 * 1024 * 1024
+// Longer than the log's wait for a proposal (3 s), so that operators get the answer to an edit under way.
+const CLOSE_TIMEOUT_MS = 4000
+const CLOSE_IDLE_INTERVAL_MS = 50
 
 /** Starts the control API. Port 0 takes a free port, for tests. */
 export function startApiServer (options: {
   address: string
   port: number
   /** `address:port` that the signatures of requests cover. */
-  authority: () => string
+  authority: string
   verify: RequestVerifier
   recordAttempt: (attempt: Attempt) => void
   services: ControlServices
@@ -38,7 +41,7 @@
     const { pathname, search } = new URL(url)
     // The signature covers the body, so the body is read before anything is decided.
     const body = method === 'GET' ? '' : await ctx.req.text()
-    const caller = verify(headers.get('authorization') ?? undefined, { method, authority: authority(), path: pathname + search, body })
+    const caller = verify(headers.get('authorization') ?? undefined, { method, authority, path: pathname + search, body })
     const context: ApiContext = { caller, recordAttempt }
     return await fetchRequestHandler({
       endpoint: '/trpc',
@@ -60,12 +63,21 @@
     })
     server.once('listening', () => resolve(ok({
       port: (server.address() as AddressInfo).port,
-      stop: () => new Promise<void>((resolve) => {
-        server.close(() => resolve())
-        server.closeIdleConnections()
-        // Clients keep connections open between calls; calls under way have been ended by their services.
-        setTimeout(() => server.closeAllConnections(), 500).unref()
-      })
+      stop: () => closeServer(server)
     })))
   })
 }
+
+/** Lets calls under way finish. Clients keep connections open between calls, so these are closed as they become idle. */
+function closeServer (server: Server): Promise<void> {
+  return new Promise((resolve) => {
+    const closeIdle = setInterval(() => server.closeIdleConnections(), CLOSE_IDLE_INTERVAL_MS)
+    const giveUp = setTimeout(() => server.closeAllConnections(), CLOSE_TIMEOUT_MS)
+    server.close(() => {
+      clearInterval(closeIdle)
+      clearTimeout(giveUp)
+      resolve()
+    })
+    server.closeIdleConnections()
+  })
+}
--- a/packages/control/src/audit/archive.ts
+++ b/packages/control/src/audit/archive.ts
@@ -100,6 +100,7 @@
     for (const seq of held.keys()) if (seq <= last.seq) held.delete(seq)
   }
 
+  /** Queues a write; one that waits takes everything offered until it starts. */
   function schedule (): Promise<void> {
     queued++
     queue = queue.then(writeHeld).catch((err: unknown) => {
@@ -113,7 +114,7 @@
     offer: (entry) => {
       if (entry.seq <= last.seq || held.size >= MAX_HELD) return
       held.set(entry.seq, entry)
-      if (queued < 2) void schedule()
+      if (queued < 2) schedule()
     },
     read: async (afterSeq, limit) => {
       const found: AuditEntry[] = []
@@ -138,7 +139,7 @@
       return true
     },
     close: async () => {
-      while (queued > 0) await queue
+      await queue
     }
   }
 }
--- /dev/null
+++ b/packages/control/src/control.ts
@@ -0,0 +1,157 @@
+import { join } from 'node:path'
+import { systemClock, type Clock, type Settings } from '@orioleslip/core'
+import { err, ok, type Result } from 'neverthrow'
+import type { Logger } from 'pino'
+import { toAuthority } from './api/address.js'
+import { createAttemptLog } from './api/attempt-log.js'
+import { createControlClient, type ControlClient } from './api/client.js'
+import { createClusterInit } from './api/cluster-init.js'
+import { createKeyCalls, type KeyCalls, type KeyGroup } from './api/key-calls.js'
+import { createNodeReports } from './api/node-reports.js'
+import { createNodeService } from './api/node-service.js'
+import { createOperatorService } from './api/operator-service.js'
+import { createRequestVerifier } from './api/request-verifier.js'
+import { startApiServer } from './api/server.js'
+import { createSharedConfirm } from './api/shared-confirm.js'
+import { createStatusService, type VmReport } from './api/status-service.js'
+import { createApiTransport } from './api/transport.js'
+import { openAuditArchive } from './audit/archive.js'
+import { runGapFiller } from './audit/gap-filler.js'
+import { createAuditTrail } from './audit/trail.js'
+import { createListsMachine } from './lists/state-machine.js'
+import type { ReplicationMessage } from './replication/messages.js'
+import { createReplicatedLog, type ControlLog } from './replication/replicated-log.js'
+
+/** The part of a StatsD client that control uses. */
+export type Metrics = { gauge: (name: string, value: number) => void }
+export type ControlDeps = { log: Logger, metrics?: Metrics, clock?: Clock, keyGroup?: KeyGroup }
+type GroupLog = Pick<ControlLog<never, unknown>, 'init' | 'status' | 'confirmCurrent' | 'handle' | 'close'>
+
+export type Control = { stop: () => Promise<void> }
+/** The process can't start; `message` names the cause and the remedy. */
+export type ControlStartError = { kind: 'controlStartFailed', message: string }
+
+const METRICS_INTERVAL_MS = 10_000
+// Longer than the log's wait for a forwarded proposal (3.25 s); the log applies its own limits to other messages.
+const PEER_TIMEOUT_MS = 5000
+// Keeps `status` quick while another control VM is frozen.
+const REPORT_TIMEOUT_MS = 1500
+
+/** Starts a control process: log groups, state machines and API. */
+export async function startControl (settings: Settings, deps: ControlDeps): Promise<Result<Control, ControlStartError>> {
+  const { log, metrics, clock = systemClock, keyGroup } = deps
+  const { vm, control: own, controls, auth: { fleetKey, operators } } = settings
+  const fail = (message: string) => err<Control, ControlStartError>({ kind: 'controlStartFailed', message })
+  if (own === undefined) return fail('the settings have no [control] table; add it')
+  const vmId = vm.id
+  const authority = toAuthority(vm.address, own.apiPort)
+  const others = controls.filter((peer) => peer.vmId !== vmId)
+  const replicationPeers = controls.map((peer) => ({ vmId: peer.vmId, address: toAuthority(peer.address, peer.apiPort) }))
+  const clients = new Map(others.map((peer): [string, ControlClient] => [peer.vmId, createControlClient({
+    authority: toAuthority(peer.address, peer.apiPort), principal: { kind: 'fleet' }, key: fleetKey, clock, timeoutMs: PEER_TIMEOUT_MS
+  })]))
+
+  const archive = await openAuditArchive(join(own.dataDir, 'audit'), log).catch((cause: unknown) => {
+    log.error({ err: cause }, 'Cannot open the audit archive')
+  })
+  if (archive === undefined) return fail(`cannot use ${join(own.dataDir, 'audit')}; check control.dataDir and its permissions`)
+
+  const machine = createListsMachine(archive.offer)
+  const transport = createApiTransport(clients)
+  const common = { vmId, peers: replicationPeers, transport, clock, logger: log }
+  const lists = await createReplicatedLog({ ...common, group: 'lists', dir: join(own.dataDir, 'lists'), machine })
+  if (lists.isErr()) return fail(lists.error.message)
+  const listsLog = lists.value
+  let keysLog: ControlLog<unknown, unknown> | undefined
+  if (keyGroup !== undefined) {
+    const keys = await createReplicatedLog({ ...common, group: 'keys', dir: join(own.dataDir, 'keys'), machine: keyGroup.machine })
+    if (keys.isErr()) {
+      await listsLog.close()
+      return fail(keys.error.message)
+    }
+    keysLog = keys.value
+  }
+  const groups = new Map<string, GroupLog>([['lists', listsLog]])
+  if (keysLog !== undefined) groups.set('keys', keysLog)
+
+  const stopping = new AbortController()
+  const confirm = createSharedConfirm(listsLog)
+  const reports = createNodeReports(clock)
+  const vmReport = (): VmReport => ({
+    vmId, revision: machine.document().revision, groups: [...groups.values()].map((group) => group.status()), nodes: reports.list()
+  })
+  const trail = createAuditTrail({ vmId, machine, archive })
+  const server = await startApiServer({
+    address: vm.address,
+    port: own.apiPort,
+    authority,
+    verify: createRequestVerifier({ fleetKey, operators, clock }),
+    recordAttempt: createAttemptLog({ vmId, lists: listsLog, clock, log }),
+    log,
+    services: {
+      operator: createOperatorService({ vmId, lists: listsLog, machine, confirm, clock, log }),
+      status: createStatusService({
+        authority,
+        own: vmReport,
+        peers: [...clients].map(([id, client]) => ({
+          vmId: id,
+          authority: client.authority,
+          report: () => client.api.replica.report.query(undefined, { signal: AbortSignal.timeout(REPORT_TIMEOUT_MS) })
+        })),
+        confirm
+      }),
+      clusterInit: createClusterInit({ ...common, groups: [...groups].map(([name, group]) => ({ name, log: group })), lists: listsLog, log }),
+      auditPage: trail.page,
+      auditVerify: trail.verify,
+      node: createNodeService({ lists: listsLog, machine, confirm, reports, clock, stopping: stopping.signal }),
+      replicaMessage: async (group, message) => {
+        const target = groups.get(group)
+        if (target === undefined) throw new Error(`no log group "${group}"; run the same version on all control VMs`)
+        return await target.handle(message as ReplicationMessage)
+      },
+      vmReport,
+      keys: keyGroup === undefined || keysLog === undefined ? noKeys : createKeyCalls(keyGroup, keysLog)
+    }
+  })
+  const closeAll = async () => {
+    await Promise.all([...groups.values()].map((group) => group.close()))
+    await archive.close()
+    await Promise.all([...clients.values()].map((client) => client.close()))
+  }
+  if (server.isErr()) {
+    await closeAll()
+    return fail(server.error.message)
+  }
+
+  const sources = [...clients].map(([id, { api }]) =>
+    ({ vmId: id, page: (afterSeq: number, limit: number) => api.replica.auditPage.query({ afterSeq, limit }) }))
+  const filler = runGapFiller({ archive, sources, clock, log, signal: stopping.signal })
+  const sampler = runMetrics(vmReport, metrics, clock, stopping.signal)
+  log.info({ vmId, address: authority, dataDir: own.dataDir }, 'Control process is up')
+  return ok({
+    stop: async () => {
+      stopping.abort()
+      await server.value.stop()
+      await closeAll()
+      await Promise.all([filler, sampler])
+    }
+  })
+}
+
+const noKeys: KeyCalls = async () =>
+  ({ kind: 'failed', problem: { kind: 'unavailable', outcome: 'not-applied', message: 'this control VM has no key register' } })
+
+async function runMetrics (report: () => VmReport, metrics: Metrics | undefined, clock: Clock, signal: AbortSignal): Promise<void> {
+  if (metrics === undefined) return
+  while (!signal.aborted) {
+    const { revision, groups, nodes } = report()
+    metrics.gauge('control.revision', revision)
+    metrics.gauge('control.polling_nodes', nodes.length)
+    for (const { group, role, term, commitIndex } of groups) {
+      metrics.gauge(`control.${group}.leader`, role === 'leader' ? 1 : 0)
+      metrics.gauge(`control.${group}.term`, term)
+      metrics.gauge(`control.${group}.commit_index`, commitIndex)
+    }
+    await clock.sleep(METRICS_INTERVAL_MS, signal)
+  }
+}
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -5,3 +5,6 @@
 export * from './replication/settings.js'
 export type { StorageError } from './storage/errors.js'
 export { nodeFileSystem, type FileSystem, type OpenFile } from './storage/file-system.js'
+export { startControl, type Control, type ControlDeps, type ControlStartError } from './control.js'
+export type { KeyGroup, KeyProcedure } from './api/key-calls.js'
+export * from './client.js'
--- /dev/null
+++ b/packages/daemon/src/run.ts
@@ -0,0 +1,63 @@
+import { Command, CommanderError } from 'commander'
+import { pino } from 'pino'
+import { EXIT } from './exit-codes.js'
+import { loadSettings } from './load-settings.js'
+import { createMetrics } from './metrics.js'
+import { startRole } from './roles.js'
+import { handleStopSignals } from './stop-signals.js'
+
+const HELP = `
+Examples:
+  orioleslipd --config /etc/orioleslip/node.toml
+  orioleslipd --config control.toml --check
+
+Exit codes: 0 planned stop or valid settings, 1 second signal or failure, 2 wrong settings or command line, 3 cannot start.`
+
+function parseArguments (argv: readonly string[]): { config: string, check: boolean } | { exitCode: number } {
+  const program = new Command('orioleslipd')
+    .description('Runs one process of orioleslip: a node beside a target, or a control process.')
+    .requiredOption('--config <file>', 'settings file (TOML), see docs/settings.md')
+    .option('--check', 'only check the settings', false)
+    .addHelpText('after', HELP)
+    .exitOverride()
+  try {
+    program.parse([...argv], { from: 'user' })
+  } catch (err) {
+    if (err instanceof CommanderError) return { exitCode: err.exitCode === 0 ? EXIT.ok : EXIT.usage }
+    throw err
+  }
+  return program.opts()
+}
+
+/** Runs the daemon; resolves with an exit code when it did not start. */
+export async function runDaemon (argv: readonly string[]): Promise<number | undefined> {
+  const args = parseArguments(argv)
+  if ('exitCode' in args) return args.exitCode
+  const loaded = loadSettings(args.config)
+  if (loaded.isErr()) {
+    process.stderr.write(loaded.error.message + '\n')
+    return EXIT.usage
+  }
+  const settings = loaded.value
+  if (args.check) {
+    process.stdout.write(`${args.config}: the settings are valid for role "${settings.role}"\n`)
+    return EXIT.ok
+  }
+  const log = pino({ level: settings.log.level, base: { vm: settings.vm.id, role: settings.role } })
+  const metrics = createMetrics(settings, log)
+  const exit = (code: number) => process.exit(code)
+  const fail = (err: unknown) => {
+    log.fatal({ err }, 'Unexpected failure; the process stops')
+    exit(EXIT.interrupted)
+  }
+  process.on('uncaughtException', fail)
+  process.on('unhandledRejection', fail)
+  const signals = handleStopSignals({ log, exit })
+  const role = await startRole(settings, { log, ...(metrics === undefined ? {} : { metrics }) })
+  if (role.isErr()) {
+    log.fatal(role.error.message)
+    return EXIT.startFailed
+  }
+  signals.started(role.value)
+  return undefined
+}
--- /dev/null
+++ b/packages/daemon/src/stop-signals.ts
@@ -0,0 +1,34 @@
+import type { Logger } from 'pino'
+import type { RunningRole } from './roles.js'
+import { EXIT } from './exit-codes.js'
+
+/** Runs the planned stop on the first SIGTERM or SIGINT; the second one ends the process at once. */
+export function handleStopSignals (options: { log: Logger, exit: (code: number) => void }): { started: (role: RunningRole) => void } {
+  const { log, exit } = options
+  let running: RunningRole | undefined
+  let stopping = false
+
+  async function stop (): Promise<void> {
+    await running?.drain()
+    await running?.stop()
+    log.info('Stopped')
+    exit(EXIT.ok)
+  }
+
+  const onSignal = (signal: NodeJS.Signals) => {
+    if (stopping) {
+      log.warn({ signal }, 'Second signal: stopping at once; work in flight is interrupted')
+      exit(EXIT.interrupted)
+      return
+    }
+    stopping = true
+    log.info({ signal }, 'Stopping; send the signal again to stop at once')
+    stop().catch((err: unknown) => {
+      log.fatal({ err }, 'The planned stop failed')
+      exit(EXIT.interrupted)
+    })
+  }
+  process.on('SIGTERM', onSignal)
+  process.on('SIGINT', onSignal)
+  return { started: (role) => { running = role } }
+}
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,1 +1,1 @@
-export {}
+export { createListsPoller, type ListsPoller, type ListsPollerOptions } from './lists/poller.js'
