Step the limit in proportion and remember where the target shed

Cause: full steps of 25% and pairs without a pause cost 12% of the slots at the upper bound; each shed answer cut the limit anew. Change: the step is proportional to the distance from the wanted share, small steps are followed by a pause, and after a shed answer the limit stays below the calls in flight at that time for 10 s. A target with 11 slots announced as 22 still needs 25 s to come down to 15.

--- a/packages/node/src/limits/concurrency-limit.ts
+++ b/packages/node/src/limits/concurrency-limit.ts
@@ -21,9 +21,9 @@
 // Above twice the announced capacity a target is more likely misbehaving than misannounced.
 const MAX_FACTOR = 2
 const MIN_FACTOR = 0.1
-const SHED_FACTOR = 0.8
-// After the target has shed load, the limit is not raised for this time.
-const SHED_HOLD_MS = 2000
+const SHED_FACTOR = 0.9
+// For this time after the target has shed load, the limit stays below the calls that were in flight then.
+const SHED_MEMORY_MS = 10_000
 
 // Limits are compared in pairs of phases. Wide pairs find a wrongly announced capacity, narrow ones keep it at little cost.
 const WIDE = 0.25
@@ -33,12 +33,18 @@
 const MIN_COLLECT_MS = 40
 const MAX_COLLECT_MS = 3000
 const LATENCY_WEIGHT = 0.05
-// Share of queue in the upper part of the pair: below the first the limit is raised, above the second it is cut.
-const RAISE_BELOW = 0.3
-const CUT_ABOVE = 0.8
+// Share of the pair's difference that is to be queue: enough to keep the slots busy, little enough to be seen by the gate.
+const WANTED_SHARE = 0.55
+const GAIN = 2
 const CONFIDENCE = 1.5
 const ENOUGH_ERROR = 0.2
 const MAX_PAIRS = 12
+// A share this far below zero means that the target itself became faster or slower between the phases.
+const DRIFT_SHARE = -0.3
+// After a step of less than half a call, the limit is kept for a while without comparisons.
+const REST_LATENCIES = 30
+const MIN_REST_MS = 1000
+const MAX_REST_MS = 5000
 // Phases in which the limit was not used up by most calls tell nothing about it.
 const SATURATED_SHARE = 0.8
 
@@ -48,9 +54,12 @@
   let learnt = 0
   let startedMs = 0
   let lastCutMs = -Infinity
+  let shedAt = Infinity
   let latencyMs = 0
   let width = WIDE
-  let lastMove: 'raise' | 'cut' | 'keep' = 'keep'
+  let lastStep = 0
+  let inFlight = 0
+  let restUntilMs = -Infinity
   let phase: Phase | undefined
   let previous: Phase | undefined
   let weightSum = 0
@@ -76,23 +85,24 @@
     const collectMs = Math.min(MAX_COLLECT_MS, Math.max(MIN_COLLECT_MS, latencyMs * COLLECT_LATENCIES))
     phase = createPhase(limit, clock.nowMs(), Math.min(MAX_COLLECT_MS, latencyMs * SETTLE_LATENCIES), collectMs)
   }
-  const move = (direction: typeof lastMove, to: number): void => {
-    if (direction === 'keep' || (lastMove !== 'keep' && direction !== lastMove)) width = NARROW
-    else if (direction === lastMove) width = WIDE
-    lastMove = direction
-    if (direction !== 'raise' || clock.nowMs() - lastCutMs > SHED_HOLD_MS) learnt = Math.min(capacity * MAX_FACTOR, Math.max(minLimit(), to))
-    restart()
+  const upperBound = () => {
+    const max = capacity * MAX_FACTOR
+    return clock.nowMs() - lastCutMs < SHED_MEMORY_MS ? Math.min(max, shedAt - 1) : max
   }
   const decide = (): void => {
     const share = shareSum / weightSum
     const error = 1 / Math.sqrt(weightSum)
-    if (share - CONFIDENCE * error > CUT_ABOVE) move('cut', lower())
-    else if (share + CONFIDENCE * error < RAISE_BELOW) move('raise', Math.max(learnt + 1, learnt * (1 + width)))
-    else if (error < ENOUGH_ERROR || pairs >= MAX_PAIRS) {
-      if (share > CUT_ABOVE) move('cut', lower())
-      else if (share < RAISE_BELOW) move('raise', Math.max(learnt + 1, learnt * (1 + width)))
-      else move('keep', learnt)
-    }
+    if (Math.abs(share - WANTED_SHARE) < CONFIDENCE * error && error > ENOUGH_ERROR && pairs < MAX_PAIRS) return
+    const step = Math.max(-1, Math.min(1, (WANTED_SHARE - share) * GAIN))
+    const before = learnt
+    learnt = Math.max(minLimit(), Math.min(upperBound(), learnt + step * Math.max(1, base() - lower())))
+    width = Math.abs(step) === 1 && step === lastStep ? WIDE : NARROW
+    lastStep = step
+    restart()
+    if (Math.abs(learnt - before) >= 0.5) return
+    width = NARROW
+    lastStep = 0
+    restUntilMs = clock.nowMs() + Math.min(MAX_REST_MS, Math.max(MIN_REST_MS, latencyMs * REST_LATENCIES))
   }
   // Starts, ends and compares phases as time passes.
   const advance = (): void => {
@@ -110,9 +120,9 @@
     const estimate = comparePhases(previous, done)
     previous = undefined
     pairs++
-    if (estimate !== undefined) {
+    if (estimate !== undefined && estimate.queueShare + 2 * estimate.error > DRIFT_SHARE) {
       weightSum += 1 / estimate.error ** 2
-      shareSum += Math.max(-1, Math.min(2, estimate.queueShare)) / estimate.error ** 2
+      shareSum += Math.min(1.5, estimate.queueShare) / estimate.error ** 2
     }
     // The next pair starts with the limit of the last phase, so that a drift of the latency cancels out between pairs.
     openPhase(done.limit)
@@ -130,28 +140,33 @@
       startedMs = clock.nowMs()
       lastCutMs = -Infinity
       width = WIDE
-      lastMove = 'keep'
+      lastStep = 0
+      restUntilMs = -Infinity
       restart()
     },
     dispatched: (opKey, saturated) => {
+      inFlight++
       advance()
       const nowMs = clock.nowMs()
-      if (phase === undefined && saturated && latencyMs > 0 && base() > 1 && rampCap() === Infinity) openPhase(base())
+      const mayOpen = saturated && latencyMs > 0 && base() > 1 && rampCap() === Infinity && nowMs >= restUntilMs
+      if (phase === undefined && mayOpen) openPhase(base())
       if (phase === undefined || nowMs < phase.settledMs) return { startMs: nowMs, opKey, phase: undefined }
       phase.dispatches++
       if (saturated) phase.saturated++
       return { startMs: nowMs, opKey, phase }
     },
     ended: (dispatch, end) => {
+      inFlight--
       advance()
       switch (end.kind) {
         case 'targetShed':
-          // Calls sent before the last cut say nothing about the limit after it.
-          if (dispatch.startMs < lastCutMs) return
+          // Calls sent before the last cut, or within one round trip of it, say nothing about the limit after it.
+          if (dispatch.startMs <= lastCutMs || clock.nowMs() - lastCutMs < latencyMs) return
           lastCutMs = clock.nowMs()
-          learnt = Math.max(minLimit(), learnt * SHED_FACTOR)
+          shedAt = Math.max(1, inFlight + 1)
+          learnt = Math.max(minLimit(), Math.min(learnt, shedAt) * SHED_FACTOR)
           width = NARROW
-          lastMove = 'cut'
+          lastStep = 0
           restart()
           return
         case 'answered': {
