Measure the target's own time in the chain trial

Cause: the trial passed the whole latency of a call, downstream calls included, to the limit. Change: `downstreamMs` is passed; the limit widens pairs only after two full steps in a row.

--- a/packages/lab/src/trials/chain-trial.ts
+++ b/packages/lab/src/trials/chain-trial.ts
@@ -16,7 +16,9 @@
   recoveryMs: number | undefined
 }
 
-const SERVICES = [{ slots: 50, connections: 400, workMs: 5 }, { slots: 30, connections: 240, workMs: 10 }, { slots: 10, connections: 80, workMs: 20 }]
+const SERVICES = [
+  { slots: 50, connections: 400, workMs: 5 }, { slots: 30, connections: 240, workMs: 10 }, { slots: 10, connections: 80, workMs: 20 }
+]
 /** Calls per second that the deepest service can do. */
 export const DEEP_CAPACITY = 500
 const MIX: Array<{ name: ClassName, importance: Importance, share: number, depth: number }> = [
@@ -52,6 +54,7 @@
   const callOnce = async (ctx: RootContext, depth: number, hop: number, dueMs: number, signal: AbortSignal): Promise<Attempt> => {
     let level = 0
     let refusal: Refusal | undefined
+    let downstreamMs = 0
     const gate = gates[hop]!
     const opKey = `${ctx.entryOpKey} ${hop}`
     const entered = spec.control
@@ -66,7 +69,9 @@
         if (hop + 1 === depth) {
           if (random.next() < FAILURE_SHARE) refusal = unknownOutcome('target-lost', 'random failure')
         } else {
+          const calledMs = clock.nowMs()
           const sub = await call(ctx, depth, hop + 1, dueMs, signal)
+          downstreamMs = clock.nowMs() - calledMs
           level = sub.level
           refusal = sub.refusal
         }
@@ -78,7 +83,7 @@
     else if (res === 'cancelled') refusal = unknownOutcome('deadline-exceeded', 'cancelled')
     if (entered?.kind === 'permit') {
       const kind = ({ done: 'answered', failed: 'failed', shed: 'targetShed', cancelled: 'cancelled' } as const)[res]
-      entered.permit.release({ kind, latencyMs })
+      entered.permit.release({ kind, latencyMs, downstreamMs })
     }
     if (refusal === undefined) latencies.add(opKey, latencyMs)
     return { refusal, level: Math.max(level, gate.load().level) }
--- a/packages/node/src/limits/concurrency-limit.ts
+++ b/packages/node/src/limits/concurrency-limit.ts
@@ -96,7 +96,8 @@
     const step = Math.max(-1, Math.min(1, (WANTED_SHARE - share) * GAIN))
     const before = learnt
     learnt = Math.max(minLimit(), Math.min(upperBound(), learnt + step * Math.max(1, base() - lower())))
-    width = Math.abs(step) === 1 && step === lastStep ? WIDE : NARROW
+    if (Math.abs(step) < 1 || step === -lastStep) width = NARROW
+    else if (step === lastStep) width = WIDE
     lastStep = step
     restart()
     if (Math.abs(learnt - before) >= 0.5) return
@@ -168,12 +169,12 @@
           width = NARROW
           lastStep = 0
           restart()
-          return
+          break
         case 'answered': {
           const ownMs = Math.max(0, end.latencyMs - (end.downstreamMs ?? 0))
           latencyMs += (end.latencyMs - latencyMs) * (latencyMs === 0 ? 1 : LATENCY_WEIGHT)
           if (dispatch.phase !== undefined && dispatch.phase === phase) addSample(phase, dispatch.opKey, ownMs)
-          return
+          break
         }
         case 'failed':
         case 'cancelled':
