Shorten the queue and lower the level by spare capacity

Cause: calls waiting in front of a slow service held the slots of the services before it, so that lookups were shed as well; the level took 2.5 s to come down. Change: the queue holds one service time (at least 50 ms); a queue above the setpoint refuses at most 15% more than the excess; a falling step admits a growing share of the spare capacity, judged by what arrived before it was refused.

--- a/packages/node/src/admission/admission-level.ts
+++ b/packages/node/src/admission/admission-level.ts
@@ -7,6 +7,8 @@
   /** Calls dropped because the queue was full or their deadline could not be met. */
   dropped: number
   queued: number
+  /** Share of the concurrency limit that is in use, 0 to 1. */
+  use: number
   /** Recent mean time that the target works on a call, in ms. */
   serviceMs: number
 }
@@ -29,16 +31,21 @@
 // Queue delays below the setpoint are normal jitter of arrivals.
 const SETPOINT_MS = 20
 const SETPOINT_SERVICE_SHARE = 0.25
-// A queue above the setpoint is drained over this time, with at most half of the throughput.
+// A queue above the setpoint is drained over this time, with at most this share of the throughput. The queue is short, so that
+// a larger share would refuse calls that the target could have run once the queue is empty.
 const DRAIN_MS = 500
-const MAX_DRAIN_SHARE = 0.5
+const MAX_DRAIN_SHARE = 0.15
 // Entry nodes learn the new level one chain latency later; falling before that would only repeat the overload.
 const HOLD_TICKS = 3
-const FIRST_STEP = 0.5
-const STEP_GROWTH = 1.25
-const MAX_STEP = 8
-// Largest share of the throughput that one falling step may add.
-const MAX_ADDED_SHARE = 0.03
+// Share of the spare capacity that a falling step gives away, first and at most.
+const FIRST_SHARE = 0.05
+const MAX_SHARE = 0.5
+const SHARE_GROWTH = 1.6
+// Even with all slots in use the level falls a little while there is no queue, to find out whether demand has ended.
+const MIN_ADDED_SHARE = 0.01
+const MAX_STEP = 16
+// Refused calls don't arrive; what arrived before they were refused is forgotten with a half-life of about 14 s.
+const OFFERED_MEMORY = 0.995
 // A band is entered only when the bands below it make up less than this share of the arrivals (probes remain).
 const LOWER_BANDS_SHARE = 0.1
 
@@ -46,10 +53,12 @@
 export function createAdmissionLevel (): AdmissionLevel {
   const arrivals = new Float64Array(PRIORITY_COUNT)
   const fresh = new Float64Array(PRIORITY_COUNT)
+  // Arrivals per window as they were when last admitted.
+  const offered = new Float64Array(PRIORITY_COUNT)
   let dispatched = 0
   let windowsMs = 0
   let level = 0
-  let step = FIRST_STEP
+  let share = FIRST_SHARE
   let holdTicks = 0
 
   const sum = (from: number, to: number): number => {
@@ -74,19 +83,29 @@
     }
     return Math.min(MAX_LEVEL, wanted)
   }
-  const fall = (): void => {
-    // Arrivals per level just above the current one tell how much a step down would add.
-    const from = Math.floor(level)
-    const density = sum(from, Math.min(PRIORITY_COUNT, from + 8)) / 8
-    const bounded = density > 0 ? Math.min(step, Math.max(0.1, MAX_ADDED_SHARE * dispatched / density * (step / FIRST_STEP))) : step
-    level = Math.max(0, level - bounded)
-    step = Math.min(MAX_STEP, step * STEP_GROWTH)
+  // Lowers the level as far as the offered calls below it fit into a share of the spare capacity.
+  const fall = (use: number): void => {
+    const capacity = dispatched / Math.max(0.05, use)
+    let room = capacity * Math.max(MIN_ADDED_SHARE, (1 - use) * share)
+    const floor = Math.max(0, level - MAX_STEP)
+    while (level > floor && room > 0) {
+      const p = Math.ceil(level) - 1
+      const part = Math.min(level - p, level - floor)
+      const calls = offered[p]! * part
+      const fits = calls <= room ? part : part * room / calls
+      level = Math.max(0, level - fits)
+      room -= calls
+    }
+    share = Math.min(MAX_SHARE, share * SHARE_GROWTH)
   }
   return {
     arrived: (priority) => { fresh[priority]!++ },
     level: () => level,
     tick: (window, windowMs) => {
-      for (let p = 0; p < PRIORITY_COUNT; p++) arrivals[p] = arrivals[p]! * MEMORY + fresh[p]!
+      for (let p = 0; p < PRIORITY_COUNT; p++) {
+        arrivals[p] = arrivals[p]! * MEMORY + fresh[p]!
+        offered[p] = p + 1 > level ? arrivals[p]! : Math.max(arrivals[p]!, offered[p]! * OFFERED_MEMORY)
+      }
       fresh.fill(0)
       dispatched = dispatched * MEMORY + window.dispatched
       windowsMs = windowsMs * MEMORY + windowMs
@@ -99,11 +118,11 @@
           level = capByBand(wanted)
           holdTicks = HOLD_TICKS
         }
-        step = FIRST_STEP
+        share = FIRST_SHARE
       } else if (holdTicks > 0) {
         holdTicks--
       } else if (delayMs < setpointMs / 2 && level > 0) {
-        fall()
+        fall(window.use)
       }
     }
   }
--- a/packages/node/src/admission/target-gate.ts
+++ b/packages/node/src/admission/target-gate.ts
@@ -7,9 +7,9 @@
 
 type Waiter = { req: GateRequest, dueMs: number, settle: (res: GateResult) => void }
 
-// Waiting longer than about two service times only adds latency; the admission level takes care of longer overload.
-const QUEUE_PER_LIMIT = 2
-const MIN_QUEUE = 32
+// The queue holds the calls of about one service time, and of at least 50 ms: callers keep their own slots while they wait here.
+const QUEUE_MS = 50
+const MIN_QUEUE = 8
 const MEAN_WEIGHT = 0.05
 
 const refused = (refusal: Refusal): GateResult => ({ kind: 'refused', refusal })
@@ -93,7 +93,7 @@
     }
     const node = queue.push(req.priority, waiter)
     req.signal.addEventListener('abort', onAbort, { once: true })
-    if (queue.size() > Math.max(MIN_QUEUE, limiter.limit() * QUEUE_PER_LIMIT)) dropLowest()
+    if (queue.size() > Math.max(MIN_QUEUE, limiter.limit() * Math.max(1, QUEUE_MS / Math.max(1, serviceMs)))) dropLowest()
   })
 
   return {
@@ -122,7 +122,13 @@
         node.value.settle(tooLateRefusal(node.value.req, remainingMs))
       })
       const nowMs = clock.nowMs()
-      level.tick({ dispatched, dropped, queued: queue.size(), serviceMs }, nowMs > tickedMs ? nowMs - tickedMs : LEVEL_INTERVAL_MS)
+      level.tick({
+        dispatched,
+        dropped,
+        queued: queue.size(),
+        use: Math.min(1, inFlight / Math.max(1, limiter.limit())),
+        serviceMs
+      }, nowMs > tickedMs ? nowMs - tickedMs : LEVEL_INTERVAL_MS)
       tickedMs = nowMs
       dispatched = 0
       dropped = 0
