Bound probes per node and let rare operations follow their service

Cause: one probe per second and operation on each of 770 nodes adds up to the whole demand, and an operation called less than once per second would be admitted by the decay of its estimate. Change: probes of all operations share a budget of the node; a stale estimate is bounded by the highest level that other operations of its service have learnt recently.

--- a/packages/node/src/admission/entry-admission.test.ts
+++ b/packages/node/src/admission/entry-admission.test.ts
@@ -53,3 +53,36 @@
   t.deepEqual([...new Set(refusals.map((refusal) => refusal.retryAfterS))].sort(), [1, 2, 3, 4])
   t.true(refusals.every((refusal) => refusal.outcome === 'not-run' && refusal.code === 'overloaded'))
 })
+
+// Guards against rarely called operations that stay refused for minutes, each waiting for a probe of its own.
+test('operations without recent answers follow the other operations of their service', async (t) => {
+  const { clock, entry } = createEntry()
+  const rare = 'GET claims /rare'
+  entry.learn(rare, 64)
+  entry.learn(OP, 64)
+  for (let i = 0; i < 30; i++) {
+    await clock.advance(100)
+    entry.learn(OP, 64)
+  }
+  t.is(entry.level(rare), 64)
+  for (let i = 0; i < 50; i++) {
+    await clock.advance(100)
+    entry.learn(OP, 0)
+  }
+  t.is(entry.level(rare), 0)
+})
+
+// Guards against a fleet in which each node's probes of many rarely called operations add up to the whole demand.
+test('probes of many operations share one budget', async (t) => {
+  const { clock, entry } = createEntry()
+  const ops = Array.from({ length: 200 }, (_, i) => `GET claims /op${i}`)
+  let probes = 0
+  for (let second = 0; second < 10; second++) {
+    for (const op of ops) {
+      entry.learn(op, 192)
+      if (entry.judge(op, 10) === undefined) probes++
+      await clock.advance(5)
+    }
+  }
+  t.true(probes <= 60, `${probes} probes of 2000 refused requests`)
+})
--- a/packages/node/src/admission/entry-admission.ts
+++ b/packages/node/src/admission/entry-admission.ts
@@ -7,25 +7,68 @@
 // Time constants of the estimate. Rising is faster: work on calls that will be dropped is wasted.
 const RISE_MS = 50
 const FALL_MS = 200
-// Without answers the estimate is held, then halves in each further period.
+// After this time without answers an estimate is stale: it is then bounded by what the other operations of the same service learn.
+// Without this, operations that are called rarely would stay refused until each has had a probe of its own.
 const HOLD_MS = 2000
+// When no operation of the service gets answers, the estimate halves in each such period.
 const HALF_LIFE_MS = 1000
-// Refused requests that are let through to learn the current level.
+// Refused requests that are let through to learn the current level: one in a hundred of each operation, and for operations with few
+// requests one per second, within a budget of this node. A fleet of 770 nodes has several hundred operations on each of them.
 const PROBE_SHARE = 0.01
 const PROBE_INTERVAL_MS = 1000
+const PROBES_PER_S = 2
 const RETRY_AFTER_MIN_S = 1
 const RETRY_AFTER_SPREAD_S = 4
 
-type Estimate = { level: number, learntMs: number, probedMs: number }
+type Estimate = { level: number, learntMs: number, probedMs: number, service: ServiceMax }
+
+/** Highest path level in the answers of one service's operations during the current and the previous period. */
+type ServiceMax = { current: number, previous: number, sinceMs: number, learntMs: number }
 
 /** Creates the admission decision of an entry node. */
 export function createEntryAdmission (opts: { clock: Clock, random: Random }): EntryAdmission {
   const { clock, random } = opts
   const estimates = new LRUCache<string, Estimate>({ max: MAX_OPERATIONS })
+  const services = new LRUCache<string, ServiceMax>({ max: MAX_OPERATIONS })
+  let probeTokens = 1
+  let probeTokensMs = clock.nowMs()
 
+  const serviceOf = (opKey: string): ServiceMax => {
+    const name = opKey.split(' ')[1] ?? ''
+    const known = services.get(name)
+    if (known !== undefined) return known
+    const service = { current: 0, previous: 0, sinceMs: clock.nowMs(), learntMs: clock.nowMs() }
+    services.set(name, service)
+    return service
+  }
+  const learnOfService = (service: ServiceMax, pathLevel: number): void => {
+    const nowMs = clock.nowMs()
+    const periods = Math.floor((nowMs - service.sinceMs) / HOLD_MS)
+    if (periods > 0) {
+      service.previous = periods === 1 ? service.current : 0
+      service.current = 0
+      service.sinceMs += periods * HOLD_MS
+    }
+    service.current = Math.max(service.current, pathLevel)
+    service.learntMs = nowMs
+  }
   const current = (estimate: Estimate): number => {
-    const idleMs = clock.nowMs() - estimate.learntMs - HOLD_MS
-    return idleMs <= 0 ? estimate.level : estimate.level * 0.5 ** (idleMs / HALF_LIFE_MS)
+    const nowMs = clock.nowMs()
+    if (nowMs - estimate.learntMs <= HOLD_MS) return estimate.level
+    const { service } = estimate
+    const idleMs = nowMs - service.learntMs - HOLD_MS
+    if (idleMs <= 0) return Math.min(estimate.level, Math.max(service.current, service.previous))
+    return estimate.level * 0.5 ** (idleMs / HALF_LIFE_MS)
+  }
+  const mayProbe = (estimate: Estimate): boolean => {
+    const nowMs = clock.nowMs()
+    if (random.next() < PROBE_SHARE) return true
+    if (nowMs - estimate.probedMs < PROBE_INTERVAL_MS) return false
+    probeTokens = Math.min(1, probeTokens + (nowMs - probeTokensMs) / 1000 * PROBES_PER_S)
+    probeTokensMs = nowMs
+    if (probeTokens < 1) return false
+    probeTokens--
+    return true
   }
   return {
     level: (opKey) => {
@@ -36,9 +79,12 @@
       const nowMs = clock.nowMs()
       const estimate = estimates.get(opKey)
       if (estimate === undefined) {
-        estimates.set(opKey, { level: pathLevel, learntMs: nowMs, probedMs: nowMs })
+        const service = serviceOf(opKey)
+        learnOfService(service, pathLevel)
+        estimates.set(opKey, { level: pathLevel, learntMs: nowMs, probedMs: nowMs, service })
         return
       }
+      learnOfService(estimate.service, pathLevel)
       const level = current(estimate)
       // At least 1 ms counts as passed, so that several answers within one millisecond all have weight.
       const passedMs = Math.max(1, nowMs - estimate.learntMs)
@@ -52,9 +98,8 @@
       if (priority >= level) return undefined
       // The priority in which the level lies is refused in proportion.
       if (priority + 1 > level && random.next() >= level - priority) return undefined
-      const nowMs = clock.nowMs()
-      if (nowMs - estimate.probedMs >= PROBE_INTERVAL_MS || random.next() < PROBE_SHARE) {
-        estimate.probedMs = nowMs
+      if (mayProbe(estimate)) {
+        estimate.probedMs = clock.nowMs()
         return undefined
       }
       return notRun('overloaded', `requests of priority ${priority} are refused below level ${Math.ceil(level)}`,
