--- a/packages/node/src/idempotency/background.ts
+++ b/packages/node/src/idempotency/background.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events'
 import type { ResultAsync } from 'neverthrow'
 import type { Clock, RegisterError } from '@orioleslip/core'
 import { createBackoff, within } from './within.js'
@@ -16,6 +17,8 @@
 export function createBackground (clock: Clock, log: OnceLog) {
   const pending = new Set<Promise<void>>()
   const stopped = new AbortController()
+  // Each pending command listens; the warning about more than 10 listeners would be wrong here.
+  setMaxListeners(0, stopped.signal)
 
   async function repeat (what: string, id: { customer: string, key: string }, command: () => ResultAsync<unknown, RegisterError>) {
     const backoff = createBackoff(100, 5000)
--- a/packages/node/src/idempotency/once-guard.ts
+++ b/packages/node/src/idempotency/once-guard.ts
@@ -46,6 +46,9 @@
 
 const RETRY_AFTER_REGISTER_S = 2
 const RETRY_AFTER_FULL_S = 60
+// The monotonic clock stops while a VM is suspended. A call whose wall-clock time exceeds its deadline by this, in ms, is not dispatched:
+// its key's record may have expired meanwhile and another call with the key may have run.
+const SUSPENSION_MS = 60_000
 
 /** Creates the guard that lets each key's call reach the target at most once. */
 export function createOnceGuard ({ register, clock, log, vmId, registerPatienceMs = 3000 }: OnceGuardOptions) {
@@ -56,7 +59,8 @@
     const id: KeyId = { customer, key }
     const claim: Omit<KeyClaim, 'timeoutMs'> = { customer, key, token, opKey, requestHash, executorVm: vmId, claimId: newClaimId() }
     const remainingMs = () => call.deadlineMs - clock.nowMs()
-    const isOver = () => signal?.aborted === true || remainingMs() <= 0
+    const latestWallMs = clock.wallMs() + Math.max(0, remainingMs()) + SUSPENSION_MS
+    const isOver = () => signal?.aborted === true || remainingMs() <= 0 || clock.wallMs() > latestWallMs
     const registerBackoff = createBackoff(25, 500)
     const keyBackoff = createBackoff(25, 1000)
     let lastReplyMs = clock.nowMs()
