Wire the whole path: daemon roles, key register, node, demonstration

Cause: the parts exist; a request has to run through real processes. Change: startNode joins call path, membership, lists and register; control serves the keys group; control VMs take part in gossip as seeds; customer rates are for now an equal share for each node, until the quota leases come.

--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -6,7 +6,7 @@
 import { createAttemptLog } from './api/attempt-log.js'
 import { createControlClient, type ControlClient } from './api/client.js'
 import { createClusterInit } from './api/cluster-init.js'
-import { createKeyCalls, type KeyCalls, type KeyGroup } from './api/key-calls.js'
+import { createKeyCalls, type KeyGroup } from './api/key-calls.js'
 import { createNodeReports } from './api/node-reports.js'
 import { createNodeService } from './api/node-service.js'
 import { createOperatorService } from './api/operator-service.js'
@@ -18,6 +18,7 @@
 import { openAuditArchive } from './audit/archive.js'
 import { runGapFiller } from './audit/gap-filler.js'
 import { createAuditTrail } from './audit/trail.js'
+import { createKeyGroup } from './keys/key-group.js'
 import { createListsMachine } from './lists/state-machine.js'
 import type { ReplicationMessage } from './replication/messages.js'
 import { createReplicatedLog, type ControlLog } from './replication/replicated-log.js'
@@ -39,11 +40,12 @@
 
 /** Starts a control process: log groups, state machines and API. */
 export async function startControl (settings: Settings, deps: ControlDeps): Promise<Result<Control, ControlStartError>> {
-  const { log, metrics, clock = systemClock, keyGroup } = deps
+  const { log, metrics, clock = systemClock } = deps
   const { vm, control: own, controls, auth: { fleetKey, operators } } = settings
   const fail = (message: string) => err<Control, ControlStartError>({ kind: 'controlStartFailed', message })
   if (own === undefined) return fail('the settings have no [control] table; add it')
   const vmId = vm.id
+  const keyGroup = deps.keyGroup ?? createKeyGroup({ clock, keyRetentionS: own.keyRetentionS, keyLimit: own.keyLimit })
   const authority = toAuthority(vm.address, own.apiPort)
   const others = controls.filter((peer) => peer.vmId !== vmId)
   const replicationPeers = controls.map((peer) => ({ vmId: peer.vmId, address: toAuthority(peer.address, peer.apiPort) }))
@@ -62,17 +64,13 @@
   const lists = await createReplicatedLog({ ...common, group: 'lists', dir: join(own.dataDir, 'lists'), machine })
   if (lists.isErr()) return fail(lists.error.message)
   const listsLog = lists.value
-  let keysLog: ControlLog<unknown, unknown> | undefined
-  if (keyGroup !== undefined) {
-    const keys = await createReplicatedLog({ ...common, group: 'keys', dir: join(own.dataDir, 'keys'), machine: keyGroup.machine })
-    if (keys.isErr()) {
-      await listsLog.close()
-      return fail(keys.error.message)
-    }
-    keysLog = keys.value
+  const keys = await createReplicatedLog({ ...common, group: 'keys', dir: join(own.dataDir, 'keys'), machine: keyGroup.machine })
+  if (keys.isErr()) {
+    await listsLog.close()
+    return fail(keys.error.message)
   }
-  const groups = new Map<string, GroupLog>([['lists', listsLog]])
-  if (keysLog !== undefined) groups.set('keys', keysLog)
+  const keysLog = keys.value
+  const groups = new Map<string, GroupLog>([['lists', listsLog], ['keys', keysLog]])
 
   const stopping = new AbortController()
   const confirm = createSharedConfirm(listsLog)
@@ -110,7 +108,7 @@
         return await target.handle(message as ReplicationMessage)
       },
       vmReport,
-      keys: keyGroup === undefined || keysLog === undefined ? noKeys : createKeyCalls(keyGroup, keysLog)
+      keys: createKeyCalls(keyGroup, keysLog)
     }
   })
   const closeAll = async () => {
@@ -138,9 +136,6 @@
   })
 }
 
-const noKeys: KeyCalls = async () =>
-  ({ kind: 'failed', problem: { kind: 'unavailable', outcome: 'not-applied', message: 'this control VM has no key register' } })
-
 async function runMetrics (report: () => VmReport, metrics: Metrics | undefined, clock: Clock, signal: AbortSignal): Promise<void> {
   if (metrics === undefined) return
   while (!signal.aborted) {
--- a/packages/lab/src/demo/main.ts
+++ b/packages/lab/src/demo/main.ts
@@ -55,7 +55,7 @@
   const nameless = await call(`${first.url}/listings/shifts/7`, 'GET', {})
   check('a request without a customer is refused', nameless.status === 400 && nameless.outcome === 'not-run', `${nameless.status} ${nameless.outcome}`)
 
-  const explained = await fleet.operator(['explain', claim.requestId, '--nodes', first.url])
+  const explained = await fleet.operator(['explain', claim.requestId])
   check('the claim can be explained', explained.code === 0 && explained.stdout.includes(claim.requestId), explained.code === 0 ? 'record found' : explained.stderr.trim())
 }
 
--- a/packages/lab/src/fleet/fleet.ts
+++ b/packages/lab/src/fleet/fleet.ts
@@ -200,7 +200,11 @@
   writeFileSync(join(dir, 'customers.toml'), stringify({ customers: lists.customers }))
   writeFileSync(join(dir, 'plans.toml'), stringify({ plans: lists.plans }))
   await waitUntil('the lists are accepted', async () => {
-    const edit = await operator(['lists', 'edit', '--customers', join(dir, 'customers.toml'), '--plans', join(dir, 'plans.toml')])
+    const current = await operator(['--json', 'lists', 'get'])
+    if (current.code !== 0) throw new Error(current.stderr)
+    const { document: { revision } } = JSON.parse(current.stdout) as { document: { revision: number } }
+    const files = ['--customers', join(dir, 'customers.toml'), '--plans', join(dir, 'plans.toml')]
+    const edit = await operator(['lists', 'edit', ...files, '--base', String(revision)])
     if (edit.code !== 0) throw new Error(edit.stderr)
     return true
   })
--- /dev/null
+++ b/packages/node/src/membership.ts
@@ -0,0 +1,18 @@
+import type { Clock, Random, Settings } from '@orioleslip/core'
+import type { Logger } from 'pino'
+import { createMembers, createSelfRecord, type Members } from './members/members.js'
+import { openUdpSocket } from './members/socket.js'
+
+export type MembershipDeps = { log: Logger, clock: Clock, random: Random }
+
+/** Opens the gossip socket and creates the membership of this process, node or control; rejects when the port is in use. */
+export async function joinMembership (settings: Settings, { log, clock, random }: MembershipDeps): Promise<Members> {
+  const { vm, role, controls, auth: { fleetKey } } = settings
+  const ports = role === 'node'
+    ? { peerPort: settings.node?.peerPort ?? 0, callerPort: settings.node?.callerPort ?? 0, gossipPort: settings.node?.gossipPort ?? 0 }
+    : { peerPort: settings.control?.apiPort ?? 0, callerPort: 0, gossipPort: settings.control?.gossipPort ?? 0 }
+  const self = createSelfRecord({ vmId: vm.id, role, host: vm.address, ...ports, region: vm.region, failureDomain: vm.failureDomain }, clock)
+  const socket = await openUdpSocket({ host: vm.address, port: ports.gossipPort }, (err) => log.debug({ err: err.message }, 'a gossip datagram was not sent'))
+  const seeds = controls.filter((peer) => peer.vmId !== vm.id).map((peer) => ({ host: peer.address, port: peer.gossipPort }))
+  return createMembers({ self, seeds, fleetKey, clock, random, log, socket })
+}
--- /dev/null
+++ b/packages/node/src/node.ts
@@ -0,0 +1,200 @@
+import {
+  LEVEL_INTERVAL_MS, systemClock, systemRandom,
+  type AskQuota, type Clock, type EntryAdmission, type PeerAddress, type QuotaAsk, type Random, type Settings
+} from '@orioleslip/core'
+import type { Logger } from 'pino'
+import { createEntryAdmission } from './admission/entry-admission.js'
+import { createTargetGate } from './admission/target-gate.js'
+import { createCallHandler } from './calls/call-handler.js'
+import { createDecisionRecords } from './calls/decision-records.js'
+import { createExecutor } from './calls/executor.js'
+import { createForwarder } from './calls/forwarder.js'
+import { createInboundCalls } from './calls/inbound-calls.js'
+import { createNodeStats, type MetricsSink } from './calls/node-stats.js'
+import { createControlCall } from './idempotency/control-call.js'
+import { resolveLostCall } from './idempotency/lost-call.js'
+import { createOnceGuard } from './idempotency/once-guard.js'
+import { createRegisterClient } from './idempotency/register-client.js'
+import { createLatencies } from './limits/latencies.js'
+import { listenForPeers } from './links/listener.js'
+import { createPeerPool } from './links/pool.js'
+import { createListsPoller } from './lists/poller.js'
+import { createTargetWatch } from './members/target-watch.js'
+import { joinMembership } from './membership.js'
+import { createQuotas } from './quotas/quotas.js'
+import { createAskRetry } from './retries/ask-retry.js'
+import { createRetryLedger } from './retries/retry-ledger.js'
+import { createInterRegionBudget } from './routing/inter-region-budget.js'
+import { createRouter } from './routing/router.js'
+import { startCallerServer } from './server/caller-server.js'
+import { createAvailability, LEAVE_SPREAD_MS, waitForOpenWork } from './server/drain.js'
+import { createWellKnown } from './server/well-known.js'
+import { createLocalTarget, type Announcement } from './target/local-target.js'
+
+/** What the daemon gives to a node. */
+export type NodeDeps = {
+  log: Logger
+  metrics?: MetricsSink
+  clock?: Clock
+  random?: Random
+}
+
+/** A running node. */
+export type RunningNode = {
+  /** Planned stop: no new work, calls in flight complete. Resolves when the node has ended. */
+  drain: () => Promise<void>
+  /** Ends at once; calls in flight are cut. */
+  stop: () => Promise<void>
+}
+
+/** Longest wait at a planned stop for answers that the key register has not recorded yet, in ms. */
+const RECORD_PATIENCE_MS = 5000
+/** Period of load metrics, in ms. */
+const GAUGE_INTERVAL_MS = 1000
+
+/** Starts the process beside a target; rejects when a port can't be opened. */
+export async function startNode (settings: Settings, deps: NodeDeps): Promise<RunningNode> {
+  const { log, metrics } = deps
+  const clock = deps.clock ?? systemClock
+  const random = deps.random ?? systemRandom
+  const cfg = settings.node
+  if (cfg === undefined) throw new Error('the settings have no [node] table')
+  const { vm, auth: { fleetKey } } = settings
+  const peerAddress: PeerAddress = { host: vm.address, port: cfg.peerPort }
+
+  const members = await joinMembership(settings, { log, clock, random })
+  const poller = createListsPoller({
+    controls: settings.controls, fleetKey, vmId: vm.id, log, clock, random, callerAddress: `${vm.address}:${cfg.callerPort}`
+  })
+  const availability = createAvailability(clock)
+  const inbound = createInboundCalls(clock.nowMs)
+  const stats = createNodeStats(metrics)
+  const records = createDecisionRecords(cfg.decisionRecords)
+  const gate = createTargetGate({ clock })
+  const target = createLocalTarget(vm.address)
+  target.onStarted(gate.targetStarted)
+  const watch = createTargetWatch({ clock, log, publish: (record) => members.announceTarget(record) })
+
+  const ledger = createRetryLedger({ clock, retryAllowance: cfg.retryAllowance })
+  const quotas = createQuotas({ members, askQuota: (vmId, ask, timeoutMs) => askQuota(vmId, ask, timeoutMs), clock, vmId: vm.id })
+  const answerAsk = (kind: string, body: unknown): unknown => {
+    switch (kind) {
+      case 'retry': return ledger.take(String(body))
+      case 'quota': return quotas.answer(body as QuotaAsk)
+      default: return undefined
+    }
+  }
+  const pool = createPeerPool({ fleetKey, vmId: vm.id }, answerAsk)
+  const askQuota: AskQuota = async (vmId, ask, timeoutMs) => {
+    const owner = members.all().find((member) => member.record.vmId === vmId)?.record
+    if (owner === undefined) return undefined
+    return await pool.ask({ host: owner.host, port: owner.peerPort }, 'quota', ask, timeoutMs) as Awaited<ReturnType<AskQuota>>
+  }
+
+  const control = createControlCall({ controls: settings.controls, fleetKey, clock, random })
+  const register = createRegisterClient(control.call)
+  const guard = createOnceGuard({ register, clock, log, vmId: vm.id })
+  const executor = createExecutor({ target, gate, inbound, guard, clock, closedFor: availability.targetClosed })
+  const listener = await listenForPeers({
+    address: peerAddress,
+    identity: { fleetKey, vmId: vm.id },
+    handlers: { onCall: executor.execute, onAsk: answerAsk },
+    onRejected: (remote, message) => log.warn({ remote }, `peer connection rejected: ${message}`)
+  })
+  const forwarder = createForwarder({
+    self: members.self,
+    router: createRouter({ members, clock, random }),
+    pool,
+    askRetry: createAskRetry({
+      clock,
+      self: peerAddress,
+      ledger,
+      send: async (address, requestId, timeoutMs) => await pool.ask(address, 'retry', requestId, timeoutMs) as boolean | undefined
+    }),
+    regionBudget: createInterRegionBudget({ clock, share: () => 1 / Math.max(1, members.knownCount()) }),
+    latencies: createLatencies(clock),
+    clock,
+    onRetry: stats.retried,
+    runLocally: executor.execute
+  })
+  const admission = cfg.overloadControl ? createEntryAdmission({ clock, random }) : OPEN_ADMISSION
+  const handler = createCallHandler({
+    self: members.self,
+    lists: () => poller.confirmed ? poller.current() : undefined,
+    closed: availability.entryClosed,
+    admission,
+    quotas,
+    ledger,
+    inbound,
+    forwarder,
+    resolveLost: (call) => resolveLostCall({ register, clock }, call),
+    records,
+    stats,
+    clock,
+    stopping: availability.stopping
+  })
+  const announce = (announcement: Announcement) => {
+    const { service, capacity, state } = announcement
+    target.announce(announcement)
+    availability.announced(state)
+    watch.announce({ service, capacity, state: availability.stopping() ? 'leaving' : state })
+  }
+  const wellKnown = createWellKnown({
+    announce,
+    records,
+    members: members.all,
+    stats: stats.snapshot,
+    state: () => ({
+      vmId: vm.id,
+      revision: poller.current()?.revision ?? 0,
+      listsConfirmed: poller.confirmed,
+      waitingFor: poller.confirmed ? undefined : poller.waitingFor(),
+      stopping: availability.stopping(),
+      load: gate.load(),
+      inFlight: inbound.size()
+    })
+  })
+  const server = await startCallerServer({ host: vm.address, port: cfg.callerPort }, handler.handle, wellKnown)
+  const timers = [
+    setInterval(gate.tick, LEVEL_INTERVAL_MS),
+    setInterval(() => reportGauges(metrics, gate.load()), GAUGE_INTERVAL_MS)
+  ]
+  members.start()
+  watch.start()
+  log.info({ vmId: vm.id, callerPort: cfg.callerPort, peerPort: cfg.peerPort }, 'node started')
+
+  const stop = async () => {
+    for (const timer of timers) clearInterval(timer)
+    watch.stop()
+    members.stop()
+    guard.stop()
+    server.abort()
+    pool.close()
+    await Promise.all([server.drain(), listener.close(), poller.stop(), control.close()])
+  }
+  const drain = async () => {
+    log.info('planned stop: the target is announced as leaving')
+    availability.stop()
+    const announced = target.current()?.announcement
+    if (announced !== undefined) watch.announce({ service: announced.service, capacity: announced.capacity, state: 'leaving' })
+    await clock.sleep(LEAVE_SPREAD_MS)
+    const left = await waitForOpenWork({ inbound, openRequests: handler.openRequests }, cfg.drainTimeoutS * 1000, clock)
+    if (left > 0) log.warn({ left, drainTimeoutS: cfg.drainTimeoutS }, 'the drain timeout has passed; calls in flight are cut; raise node.drainTimeoutS')
+    await Promise.race([guard.idle(), clock.sleep(RECORD_PATIENCE_MS)])
+    await members.leave()
+    await stop()
+    log.info('node stopped')
+  }
+  return { drain, stop }
+}
+
+/** Admits everything; used when overload control is switched off for a comparison. */
+const OPEN_ADMISSION: EntryAdmission = { judge: () => undefined, learn: () => {}, level: () => 0 }
+
+function reportGauges (metrics: MetricsSink | undefined, load: { level: number, inFlight: number, queued: number, limit: number }): void {
+  if (metrics === undefined) return
+  metrics.gauge('admission_level', load.level)
+  metrics.gauge('target_in_flight', load.inFlight)
+  metrics.gauge('target_queued', load.queued)
+  metrics.gauge('target_limit', load.limit)
+}
