Add SWIM membership over UDP and the watch over the local target

Cause: nodes need one table of members and target states; a leaving target must be known everywhere within 3 s.

--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,1 +1,1 @@
-export {}
+export * from './members/index.js'
--- /dev/null
+++ b/packages/node/src/members/members.test.ts
@@ -0,0 +1,200 @@
+import { createSeededRandom } from '@orioleslip/core'
+import type { Liveness } from '@orioleslip/core'
+import test from 'ava'
+import fc from 'fast-check'
+import { decodeMessage, encodeMessage, updatesOf } from './message.js'
+import { createSimWorld } from './sim-world.js'
+import type { SimMember, SimOptions } from './sim-world.js'
+import { FORGET_FAILED_MS, FORGET_LEFT_MS } from './timing.js'
+
+const SEED_HOST = '10.0.0.1'
+const FLEET_KEY = 'key-of-the-simulated-fleet'
+
+/** A fleet that joined through its first member, a control process. */
+async function joinedFleet (size: number, options: Partial<SimOptions> = {}) {
+  const world = createSimWorld({ seed: 1, delayMs: 20, lossRate: 0.02, seeds: [SEED_HOST], ...options })
+  const fleet = Array.from({ length: size }, (_, i) => world.add(i === 0 ? 'control-0' : `node-${i}`, { role: i === 0 ? 'control' : 'node' }))
+  await world.advance(15_000)
+  return { world, fleet, at: (i: number) => fleet[i] as SimMember }
+}
+
+const livenessOf = ({ members }: SimMember, vmId: string): Liveness | undefined =>
+  members.all().find(({ record }) => record.vmId === vmId)?.liveness
+
+const opinions = (fleet: SimMember[], vmId: string) => [...new Set(fleet.map((member) => livenessOf(member, vmId)))]
+
+const allAlive = (fleet: SimMember[], known = fleet) => fleet.every((member) =>
+  known.every(({ members }) => livenessOf(member, members.self().vmId) === 'alive'))
+
+// Guards against chunks of the table that get lost at join, and against a seed that starts last.
+test('members have the full table soon after they joined, in spite of losses and a late seed', async (t) => {
+  const world = createSimWorld({ seed: 2, delayMs: 20, lossRate: 0.1, seeds: ['10.0.9.9'] })
+  const fleet = Array.from({ length: 60 }, (_, i) => world.add(`node-${i}`))
+  await world.advance(5000)
+  t.false(fleet.some(({ members }) => members.isConfirmed()))
+  fleet.push(world.add('control-0', { host: '10.0.9.9', role: 'control' }))
+  await world.advance(15_000)
+  t.true(fleet.every(({ members }) => members.isConfirmed()))
+  t.true(fleet.every(({ members }) => members.knownCount() === 61))
+})
+
+// Guards against crashed members that keep getting work or stay in the table for ever.
+test('a crashed member fails everywhere and is forgotten after 10 minutes', async (t) => {
+  const { world, fleet, at } = await joinedFleet(30)
+  at(5).members.stop()
+  const rest = fleet.filter((member) => member !== at(5))
+  await world.advance(15_000)
+  t.deepEqual(opinions(rest, 'node-5'), ['failed'])
+  t.is(at(1).members.knownCount(), 30)
+  t.true(allAlive(rest))
+  await world.advance(FORGET_FAILED_MS + 15_000)
+  t.deepEqual(opinions(rest, 'node-5'), [undefined])
+})
+
+// Guards against a planned stop being taken for a failure, and against relearning the member from a slow peer.
+test('a member that leaves is known as left and forgotten after one minute', async (t) => {
+  const { world, fleet, at } = await joinedFleet(30)
+  const rest = fleet.filter((member) => member !== at(5))
+  const left = at(5).members.leave()
+  await world.advance(3000)
+  await left
+  t.deepEqual(opinions(rest, 'node-5'), ['left'])
+  t.is(at(1).members.knownCount(), 29)
+  await world.advance(FORGET_LEFT_MS + 5000)
+  t.deepEqual(opinions(rest, 'node-5'), [undefined])
+})
+
+// Guards against a restarted process being taken for its predecessor, also when it was declared failed or left before.
+for (const end of ['crash', 'leave'] as const) {
+  test(`a restarted process takes over the record of its predecessor after a ${end}`, async (t) => {
+    const { world, fleet, at } = await joinedFleet(20)
+    const { address, members } = at(5)
+    members.announceTarget({ service: 'claims', capacity: 55, state: 'ready' })
+    await world.advance(3000)
+    if (end === 'crash') members.stop()
+    else members.leave()
+    await world.advance(end === 'crash' ? 15_000 : 2000)
+    fleet[5] = world.add('node-5', { host: address.host })
+    await world.advance(5000)
+    t.true(allAlive(fleet))
+    t.true(at(5).members.isConfirmed())
+    t.true(fleet.every((member) => member.members.ofService('claims').length === 0))
+  })
+}
+
+// Guards against a VM whose clock was set back: its incarnation is lower than that of the process before it.
+test('a process that restarts with an older clock still becomes alive', async (t) => {
+  const { world, fleet, at } = await joinedFleet(20)
+  const { address, members } = at(5)
+  const incarnation = members.self().incarnation + 86_400_000
+  const future = { ...members.self(), incarnation }
+  members.stop()
+  for (const other of fleet) {
+    other.members.mergeTable([{ vmId: 'node-5', incarnation, version: 0, liveness: 'alive', ageMs: 0, hash: 1, record: future }])
+  }
+  fleet[5] = world.add('node-5', { host: address.host })
+  await world.advance(5000)
+  t.true(fleet.every((member) => member.members.all().some(({ record }) => record.vmId === 'node-5' && record.incarnation > incarnation)))
+  t.true(allAlive(fleet))
+})
+
+// Guards against a replaced VM that stays alive because its successor at the same address answers the probes.
+test('a VM replaced under the same address is failed and its successor alive', async (t) => {
+  const { world, fleet, at } = await joinedFleet(20)
+  const { address, members } = at(5)
+  members.stop()
+  await world.advance(100)
+  fleet[5] = world.add('node-new', { host: address.host })
+  await world.advance(5000)
+  t.deepEqual(opinions(fleet, 'node-5'), ['failed'])
+  t.true(allAlive(fleet))
+})
+
+// Guards against a resumed process that takes work while the fleet holds it as failed, and against its own outdated doubts.
+test('a frozen process takes no work until it has refuted its failure', async (t) => {
+  const { world, fleet, at } = await joinedFleet(20)
+  const { address, members } = at(5)
+  const rest = fleet.filter((member) => member !== at(5))
+  const incarnation = members.self().incarnation
+  world.freeze(address.host)
+  await world.advance(60_000)
+  t.deepEqual(opinions(rest, 'node-5'), ['failed'])
+  t.false(members.isConfirmed())
+  let confirmedBeforeRefuting = false
+  members.onChange(() => { confirmedBeforeRefuting ||= members.isConfirmed() && members.self().incarnation === incarnation })
+  world.thaw(address.host)
+  await world.advance(3000)
+  t.false(confirmedBeforeRefuting)
+  t.true(members.isConfirmed())
+  t.true(members.self().incarnation > incarnation)
+  t.true(allAlive(fleet))
+})
+
+// Guards against a broken path between two members being taken for the failure of one of them.
+test('a one-way cut between two members fails neither', async (t) => {
+  const { world, fleet, at } = await joinedFleet(20)
+  const [a, b] = [at(3).address.host, at(4).address.host]
+  world.cut((from, to) => from.host === a && to.host === b)
+  let failed = false
+  for (const { members } of fleet) members.onChange(() => { failed ||= members.all().some(({ liveness }) => liveness === 'failed') })
+  await world.advance(120_000)
+  t.false(failed)
+})
+
+// Guards against a member that hears nobody and declares the whole fleet failed, and one that nobody hears.
+for (const direction of ['receives', 'sends'] as const) {
+  test(`a member that no longer ${direction} anything fails alone and returns`, async (t) => {
+    const { world, fleet, at } = await joinedFleet(20)
+    const { host } = at(5).address
+    const rest = fleet.filter((member) => member !== at(5))
+    world.cut((from, to) => (direction === 'receives' ? to.host : from.host) === host)
+    let wronglyFailed = false
+    const isWrong = ({ record, liveness }: { record: { vmId: string }, liveness: Liveness }) => liveness === 'failed' && record.vmId !== 'node-5'
+    for (const { members } of rest) members.onChange(() => { wronglyFailed ||= members.all().some(isWrong) })
+    await world.advance(60_000)
+    t.deepEqual(opinions(rest, 'node-5'), ['failed'])
+    t.false(wronglyFailed)
+    world.cut(() => false)
+    await world.advance(10_000)
+    t.true(allAlive(fleet))
+  })
+}
+
+// Guards against halves that stay apart after a partition; only one half has the seed.
+for (const [size, seed] of [[40, 1], [40, 2], [120, 3]] as const) {
+  test(`two halves of ${size} members merge within seconds after 3 minutes apart, seed ${seed}`, async (t) => {
+    const { world, fleet } = await joinedFleet(size, { seed })
+    const near = new Set(fleet.slice(0, size / 2).map(({ address }) => address.host))
+    world.cut((from, to) => near.has(from.host) !== near.has(to.host))
+    await world.advance(180_000)
+    const first = fleet[0]?.members.all().filter(({ liveness }) => liveness === 'failed').length
+    t.is(first, size / 2)
+    world.cut(() => false)
+    const bytes = world.stats.bytes
+    let seconds = 0
+    while (!allAlive(fleet) && seconds < 30) {
+      await world.advance(1000)
+      seconds++
+    }
+    t.log({ seconds, bytesSentPerMember: Math.round((world.stats.bytes - bytes) / size) })
+    t.true(seconds <= 10)
+  })
+}
+
+// Guards against forged, damaged or foreign datagrams.
+test('only datagrams signed with the fleet key are decoded', (t) => {
+  const data = encodeMessage(FLEET_KEY, { kind: 'ping', to: 'b', from: 'a', incarnation: 1, seq: 2, updates: [] })
+  t.is(decodeMessage(FLEET_KEY, data)?.kind, 'ping')
+  t.is(decodeMessage('another-key-of-16-chars', data), undefined)
+  const random = createSeededRandom(5)
+  for (let i = 0; i < data.length; i++) {
+    const damaged = Buffer.from(data)
+    damaged[i] = (damaged[i] ?? 0) ^ (1 + random.int(255))
+    t.is(decodeMessage(FLEET_KEY, damaged), undefined)
+  }
+  fc.assert(fc.property(fc.uint8Array({ maxLength: 80 }), (update) => {
+    const msg = { kind: 'gossip' as const, from: 'a', incarnation: 1, seq: 0, updates: [update] }
+    const decoded = decodeMessage(FLEET_KEY, encodeMessage(FLEET_KEY, msg))
+    return decoded !== undefined && updatesOf(decoded).length <= 1
+  }), { seed: 7 })
+})
