--- a/packages/control/src/replication/cluster.test.ts
+++ b/packages/control/src/replication/cluster.test.ts
@@ -85,7 +85,11 @@
   await cluster.propose(cluster.leader()!.vmId, 'a')
   old.process.isFrozen = false
   t.is(old.log!.status().leaseMs, 0)
-  t.true((await cluster.during(old.log!.propose('b'))).isErr())
+  // Both calls are made before any message tells it about the new leader.
+  const current = old.log!.confirmCurrent()
+  const proposed = old.log!.propose('b')
+  t.true((await cluster.during(current)).isErr())
+  t.true((await cluster.during(proposed)).isErr())
   await cluster.converge()
   t.deepEqual(old.machine.applied, ['a'])
   t.deepEqual(cluster.violations, [])
--- a/packages/control/src/replication/init.ts
+++ b/packages/control/src/replication/init.ts
@@ -5,8 +5,15 @@
 import { failureOf, noteStorageError, refreshConfiguration, request, saveTerm, type Replica } from './replica.js'
 import { startTask } from './tasks.js'
 
-/** The group was not created; `message` names the reason and the remedy. */
-export type InitError = { kind: 'initRefused', message: string }
+/** `message` names the reason and the remedy. */
+export type InitError =
+  /** The group was not created. */
+  | { kind: 'initRefused', message: string }
+  /** The first entry is written here, but no quorum has confirmed it yet. */
+  | { kind: 'initUnconfirmed', message: string }
+
+// Some elections, in case VMs that have just started don't vote yet.
+const CONFIRM_ELECTIONS = 5
 
 const refuse = (message: string) => err<void, InitError>({ kind: 'initRefused', message })
 
@@ -26,10 +33,12 @@
   try {
     const members = await askPeers(replica, vmIds)
     if (members.isErr()) return err(members.error)
-    return await replica.lock(() => writeFirstEntry(replica, members.value))
+    const written = await replica.lock(() => writeFirstEntry(replica, members.value))
+    if (written.isErr()) return written
+    startTask(replica, standForElection(replica))
+    return await confirm(replica)
   } finally {
     replica.initiating = false
-    if (replica.config !== undefined) startTask(replica, standForElection(replica))
   }
 }
 
@@ -53,6 +62,20 @@
 
 const refuseMembers = (message: string) => err<Member[], InitError>({ kind: 'initRefused', message })
 
+/** Waits until the loss of this disk would not undo the creation. */
+async function confirm (replica: Replica): Promise<Result<void, InitError>> {
+  const { clock, settings } = replica
+  const endMs = clock.nowMs() + CONFIRM_ELECTIONS * settings.electionMaxMs
+  while (replica.commitIndex === 0) {
+    const leftMs = endMs - clock.nowMs()
+    if (leftMs <= 0 || replica.closed) {
+      return err({ kind: 'initUnconfirmed', message: 'the group is created, but no quorum has confirmed it yet; look at the status of the VMs' })
+    }
+    await replica.changed.wait(leftMs)
+  }
+  return ok()
+}
+
 async function writeFirstEntry (replica: Replica, members: Member[]): Promise<Result<void, InitError>> {
   const { store } = replica
   if (replica.config !== undefined) return refuse('this VM has joined a group in the meantime; nothing to do')
--- a/packages/control/src/replication/open-replica.ts
+++ b/packages/control/src/replication/open-replica.ts
@@ -32,15 +32,26 @@
   const opened = await openStore(storeOptions)
   if (opened.isOk() || opened.error.kind !== 'damaged') return opened
   logger.error({ group, file: opened.error.file, offset: opened.error.offset }, opened.error.message)
-  if (!await hasLeader(options)) return err(opened.error)
+  if (options.peers.length < 2 || !await hasLeader(options)) return err(opened.error)
   const aside = await moveAside(fs, dir)
   logger.warn({ group, aside }, 'the damaged files were moved aside; this replica is rebuilt from its peers')
   return await openStore(storeOptions)
 }
 
-async function hasLeader ({ group, vmId, peers, transport, clock, settings }: OpenOptions): Promise<boolean> {
+async function hasLeader (options: OpenOptions): Promise<boolean> {
+  const { clock, settings } = options
+  const endMs = clock.nowMs() + settings.repairWaitMs
+  // The damage may have come with the loss of the leader, so the others get time for an election.
+  while (!await askForLeader(options)) {
+    if (clock.nowMs() >= endMs) return false
+    await clock.sleep(settings.heartbeatMs)
+  }
+  return true
+}
+
+async function askForLeader ({ group, vmId, peers, transport, clock, settings }: OpenOptions): Promise<boolean> {
   const replies = await Promise.all(peers.filter((peer) => peer.vmId !== vmId).map((peer) =>
-    within(clock, 4 * settings.rpcTimeoutMs, (async () => await transport.send(peer.vmId, {
+    within(clock, 2 * settings.rpcTimeoutMs, (async () => await transport.send(peer.vmId, {
       group, from: { vmId, storageId: '' }, body: { kind: 'identify', init: false }
     }))())))
   return replies.some((reply) => reply?.kind === 'identify' && reply.hasLeader)
--- a/packages/control/src/replication/settings.ts
+++ b/packages/control/src/replication/settings.ts
@@ -15,6 +15,8 @@
   readTimeoutMs: number
   /** Time between two tries to join the group. */
   joinRetryMs: number
+  /** Longest wait of a damaged replica for a leader, before its start fails. */
+  repairWaitMs: number
   /** A replica with a full disk does not stand for election for this long. */
   fullDiskPauseMs: number
   /** Most bytes of entries in one message. */
@@ -47,6 +49,7 @@
   proposeTimeoutMs: 3000,
   readTimeoutMs: 1000,
   joinRetryMs: 1000,
+  repairWaitMs: 15_000,
   fullDiskPauseMs: 10_000,
   batchBytes: 1024 * 1024,
   batchEntries: 512,
--- a/packages/control/src/replication/testing/cluster.ts
+++ b/packages/control/src/replication/testing/cluster.ts
@@ -87,8 +87,9 @@
     })
     target.process = process
     target.log = undefined
-    const opened = await Promise.race([opening, clock.advance(3000).then(() => undefined)])
-    if (opened === undefined || process.isDead) return
+    // A damaged replica waits for a leader.
+    const opened = await during(opening, () => process.isDead)
+    if (opened === undefined) return
     target.startError = opened.match(() => undefined, ({ message }) => message)
     if (opened.isErr()) return
     target.log = opened.value
@@ -125,11 +126,13 @@
   }
 
   /** Waits for a promise while time passes. */
-  async function during<T> (promise: PromiseLike<T>): Promise<T> {
+  async function during<T> (promise: PromiseLike<T>): Promise<T>
+  async function during<T> (promise: PromiseLike<T>, isGivenUp: () => boolean): Promise<T | undefined>
+  async function during<T> (promise: PromiseLike<T>, isGivenUp = () => false): Promise<T | undefined> {
     const state = { isDone: false }
     const done = Promise.resolve(promise).finally(() => { state.isDone = true })
-    await until(() => state.isDone, 'a result', 30_000)
-    return await done
+    await until(() => state.isDone || isGivenUp(), 'a result', 30_000)
+    return state.isDone ? await done : undefined
   }
 
   async function until (condition: () => boolean, what: string, ms = 15_000) {
