--- a/packages/cli/src/commands/explain.ts
+++ b/packages/cli/src/commands/explain.ts
@@ -10,7 +10,9 @@
 
 type Found = { node: string, record: unknown }
 
-async function askNode (node: string, requestId: string): Promise<Found | { node: string, problem?: string }> {
+type Missing = { node: string, problem?: string }
+
+async function askNode (node: string, requestId: string): Promise<Found | Missing> {
   const url = `http://${node}${WELL_KNOWN_PREFIX}explain/${encodeURIComponent(requestId)}`
   try {
     const res = await fetch(url, { signal: AbortSignal.timeout(TIMEOUT_MS) })
@@ -23,7 +25,9 @@
 }
 
 /** `explain`: asks the given nodes, or all that poll the control VMs, for their records of a request. */
-export async function explainRequest (calls: ControlCalls, requestId: string, named: string[] | undefined): Promise<Result<Output, CliError>> {
+export async function explainRequest (
+  calls: ControlCalls, requestId: string, named: string[] | undefined
+): Promise<Result<Output, CliError>> {
   let nodes = named
   if (nodes === undefined) {
     const status = await calls.ask<StatusAnswer>((api) => api.status.query() as Promise<StatusAnswer>)
--- a/packages/cli/src/commands/lists-read.ts
+++ b/packages/cli/src/commands/lists-read.ts
@@ -61,14 +61,14 @@
 }
 
 /** `lists history`: the latest accepted edits. */
-export async function listsHistory (calls: ControlCalls, options: { limit: number }): Promise<Result<Output, CliError>> {
-  const { limit } = options
+export async function listsHistory (calls: ControlCalls, { limit }: { limit: number }): Promise<Result<Output, CliError>> {
   const entries = await calls.ask<HistoryEntry[]>((api) => api.history.query({ limit }) as Promise<HistoryEntry[]>)
   return entries.map((list) => ({
     text: list.length === 0
       ? 'no edits'
       : formatTable([['revision', 'time', 'operator', 'changes', 'edit id'],
-        ...list.map((entry) => [String(entry.revision), formatTime(entry.wallMs), entry.operator, String(entry.changes.length), entry.editId])]),
+        ...list.map(({ revision, wallMs, operator, changes, editId }) =>
+          [String(revision), formatTime(wallMs), operator, String(changes.length), editId])]),
     json: list
   }))
 }
--- a/packages/cli/src/control-calls.ts
+++ b/packages/cli/src/control-calls.ts
@@ -22,12 +22,17 @@
 
 // An election takes up to 1.2 s; four rounds with these pauses cover it.
 const ROUND_PAUSES_MS = [300, 800, 1500]
+// Longer than a forwarded proposal takes at most (3.25 s), and short enough to pass over a frozen control VM.
+const ANSWER_TIMEOUT_MS = 4500
 const DENIED = new Set(['UNAUTHORIZED', 'FORBIDDEN'])
 
 /** Creates the calls of a command. */
-export function createControlCalls (settings: ClientSettings, clock: Clock): ControlCalls {
+export function createControlCalls (
+  settings: ClientSettings, clock: Clock, options: { connect?: (authority: string) => Pick<ControlClient, 'authority' | 'api' | 'close'> } = {}
+): ControlCalls {
   const { controls, operator, key } = settings
-  const clients = controls.map((authority) => createControlClient({ authority, principal: { kind: 'operator', name: operator }, key, clock }))
+  const clients = controls.map(options.connect ?? ((authority) =>
+    createControlClient({ authority, principal: { kind: 'operator', name: operator }, key, clock, timeoutMs: ANSWER_TIMEOUT_MS })))
 
   async function ask<T, A = T> (
     call: (api: Api) => Promise<A>, judge: (answer: A) => Verdict<T> = (answer) => ({ kind: 'take', value: answer as unknown as T })
--- a/packages/control/src/api/status-service.ts
+++ b/packages/control/src/api/status-service.ts
@@ -1,4 +1,6 @@
 import type { ReplicaStatus } from '@orioleslip/core'
+import type { ResultAsync } from 'neverthrow'
+import type { ControlCallError } from './client.js'
 import { mergeReports, type NodeReport } from './node-reports.js'
 import type { Confirm } from './shared-confirm.js'
 
@@ -27,7 +29,7 @@
 }
 
 /** Another control VM of the fleet. */
-export type Peer = { vmId: string, authority: string, report: () => Promise<VmReport> }
+export type Peer = { vmId: string, authority: string, report: () => ResultAsync<VmReport, ControlCallError> }
 
 // A node polls at least every 5 s; after three missed polls it counts as silent.
 const SILENT_AFTER_MS = 15_000
@@ -40,12 +42,10 @@
 
   async function ask (peer: Peer): Promise<{ status: ControlVmStatus, nodes: NodeReport[] }> {
     const { vmId, authority } = peer
-    try {
-      const { revision, groups, nodes } = await peer.report()
-      return { status: { vmId, authority, reachable: true, revision, groups }, nodes }
-    } catch (err) {
-      return { status: { vmId, authority, reachable: false, reason: err instanceof Error ? err.message : String(err) }, nodes: [] }
-    }
+    const res = await peer.report()
+    return res.match<{ status: ControlVmStatus, nodes: NodeReport[] }>(
+      ({ revision, groups, nodes }) => ({ status: { vmId, authority, reachable: true, revision, groups }, nodes }),
+      ({ message }) => ({ status: { vmId, authority, reachable: false, reason: message }, nodes: [] }))
   }
 
   return async () => {
--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -4,7 +4,7 @@
 import type { Logger } from 'pino'
 import { toAuthority } from './api/address.js'
 import { createAttemptLog } from './api/attempt-log.js'
-import { createControlClient, type ControlClient } from './api/client.js'
+import { callControl, createControlClient, type ControlClient } from './api/client.js'
 import { createClusterInit } from './api/cluster-init.js'
 import { createKeyCalls, type KeyCalls, type KeyGroup } from './api/key-calls.js'
 import { createNodeReports } from './api/node-reports.js'
@@ -74,6 +74,8 @@
   const groups = new Map<string, GroupLog>([['lists', listsLog]])
   if (keysLog !== undefined) groups.set('keys', keysLog)
 
+  const namedGroups = [...groups].map(([name, group]) => ({ name, log: group }))
+
   const stopping = new AbortController()
   const confirm = createSharedConfirm(listsLog)
   const reports = createNodeReports(clock)
@@ -96,11 +98,11 @@
         peers: [...clients].map(([id, client]) => ({
           vmId: id,
           authority: client.authority,
-          report: () => client.api.replica.report.query(undefined, { signal: AbortSignal.timeout(REPORT_TIMEOUT_MS) })
+          report: () => callControl(client.api.replica.report.query(undefined, { signal: AbortSignal.timeout(REPORT_TIMEOUT_MS) }))
         })),
         confirm
       }),
-      clusterInit: createClusterInit({ ...common, groups: [...groups].map(([name, group]) => ({ name, log: group })), lists: listsLog, log }),
+      clusterInit: createClusterInit({ vmId, groups: namedGroups, lists: listsLog, clock, log }),
       auditPage: trail.page,
       auditVerify: trail.verify,
       node: createNodeService({ lists: listsLog, machine, confirm, reports, clock, stopping: stopping.signal }),
