Test the lists state machine, the audit trail and the control API

Cause: edits, resends, replays and damaged archives need proof. Change: tests with a fake log and over real HTTP. They found two faults, both corrected: the nonce of a request dated ahead was forgotten one millisecond too early, and more than 2000 entries waiting for the disk left a gap that was never filled. Conclusion: operator requests are accepted once, and the archive is complete again after a failing disk.

--- /dev/null
+++ b/packages/control/src/api/api.test.ts
@@ -0,0 +1,75 @@
+import test from 'ava'
+import type { AuditEntry } from '../audit/chain.js'
+import { FLEET_KEY, OPERATOR_KEY, startApi } from '../testing/api-fixture.js'
+import { callControl } from './client.js'
+
+const ANA = { kind: 'operator', name: 'ana' } as const
+const FLEET = { kind: 'fleet' } as const
+const lists = { customers: { branch: 'basic' }, plans: { basic: { ratePerSecond: 1, burst: 1, operations: [] } } }
+const edit = { editId: 'edit-0001', baseRevision: 0, lists }
+
+const codeOf = async (call: Promise<unknown>) => (await callControl(call)).match(() => 'accepted', (err) => 'code' in err ? err.code : err.kind)
+
+// Guards against edits without an operator's key, and against such attempts that leave no trace.
+test('only operators edit; other attempts are refused and audited', async (t) => {
+  const { connect, server, machine } = await startApi()
+  t.teardown(server.stop)
+  const ana = connect(ANA, OPERATOR_KEY)
+  t.is(await codeOf(connect(ANA, 'wrong-key-0123456789').api.edit.mutate(edit)), 'UNAUTHORIZED')
+  t.is(await codeOf(connect({ kind: 'operator', name: 'eve' }, OPERATOR_KEY).api.edit.mutate(edit)), 'UNAUTHORIZED')
+  t.is(await codeOf(connect(FLEET, FLEET_KEY).api.edit.mutate(edit)), 'FORBIDDEN')
+  t.is(await codeOf(connect(FLEET, FLEET_KEY).api.get.query()), 'FORBIDDEN')
+  t.is(await codeOf(ana.api.lists.since.query({ vmId: 'n1', revision: 0, waitMs: 0 })), 'FORBIDDEN')
+  t.is(machine.document().revision, 0)
+  t.deepEqual(await ana.api.edit.mutate(edit), { kind: 'accepted', revision: 1 })
+  const entries = await ana.api.audit.query({ afterSeq: 0, limit: 10 }) as AuditEntry[]
+  t.deepEqual(entries.map(({ operator, editId, outcome }) => [operator, editId, outcome.kind, outcome.kind === 'refused' && outcome.unauthenticated]), [
+    ['ana', 'edit-0001', 'refused', true], ['eve', 'edit-0001', 'refused', true], ['fleet', 'edit-0001', 'refused', false],
+    ['ana', 'edit-0001', 'accepted', false]
+  ])
+})
+
+// Guards against invalid lists that reach the nodes, and against invalid attempts that leave no trace.
+test('invalid lists are answered with their problems and audited', async (t) => {
+  const { connect, server, machine } = await startApi()
+  t.teardown(server.stop)
+  const answer = await connect(ANA, OPERATOR_KEY).api.edit.mutate({ ...edit, lists: { ...lists, customers: { branch: 'gone' } } })
+  t.deepEqual(answer, { kind: 'invalid', problems: ['customers.branch: plan "gone" is not in the plans list; add it or change the customer'] })
+  t.is(machine.auditEntries()[0]?.outcome.kind, 'invalid')
+  t.is(machine.document().revision, 0)
+})
+
+// Guards against a long poll that is answered late or without the edit.
+test('a held poll is answered with the accepted edit', async (t) => {
+  const { connect, server } = await startApi()
+  t.teardown(server.stop)
+  const fleet = connect(FLEET, FLEET_KEY)
+  const first = await fleet.api.lists.since.query({ vmId: 'n1', revision: -1, waitMs: 5000 })
+  t.like(first, { confirmed: true, change: { kind: 'full', document: { revision: 0 } } })
+  const held = fleet.api.lists.since.query({ vmId: 'n1', revision: 0, waitMs: 5000 })
+  await connect(ANA, OPERATOR_KEY).api.edit.mutate(edit)
+  const answer = await held
+  // The delta of an edit that fills the empty lists is larger than the document, so the document is sent.
+  t.like(answer, { confirmed: true, change: { kind: 'full', document: { revision: 1 } } })
+  t.deepEqual(answer.change.kind === 'full' && answer.change.document.lists, lists)
+})
+
+// Guards against opaque inputs and values that change on the way to the key register.
+test('key register calls pass through unchanged', async (t) => {
+  const { connect, server } = await startApi()
+  t.teardown(server.stop)
+  const input = { customer: 'branch', key: 'k', nested: [1, { a: null }] }
+  t.deepEqual((await connect(FLEET, FLEET_KEY).keyCall('claim', input))._unsafeUnwrap(), { procedure: 'claim', input })
+  t.like((await connect(FLEET, 'wrong-key-0123456789').keyCall('claim', input))._unsafeUnwrapErr(), { kind: 'unavailable', outcome: 'not-applied' })
+})
+
+// Guards against a second process on the port of a first one that fails without a remedy.
+test('a taken port is reported with the setting to change', async (t) => {
+  const first = await startApi()
+  t.teardown(first.server.stop)
+  const { startApiServer } = await import('./server.js')
+  const res = await startApiServer({
+    address: '127.0.0.1', port: first.server.port, authority: '', verify: () => ANA, recordAttempt: () => {}, log: first.log, services: {} as never
+  })
+  t.regex(res._unsafeUnwrapErr().message, /EADDRINUSE.*control\.apiPort/)
+})
--- a/packages/control/src/api/client.ts
+++ b/packages/control/src/api/client.ts
@@ -25,6 +25,8 @@
 export type ControlClientOptions = {
   /** `address:port` of the control VM, as in its settings. */
   authority: string
+  /** What the signature names as the receiver, where it differs from `authority`: behind an address translation, for example. */
+  signedAuthority?: string
   principal: Principal
   key: string
   clock: Clock
@@ -38,14 +40,15 @@
 
 /** Creates a client of one control VM that signs each request. */
 export function createControlClient (options: ControlClientOptions): ControlClient {
-  const { authority, principal, key, clock, timeoutMs = DEFAULT_TIMEOUT_MS } = options
+  const { authority, signedAuthority = authority, principal, key, clock, timeoutMs = DEFAULT_TIMEOUT_MS } = options
   const dispatcher = new Agent({ connect: { timeout: CONNECT_TIMEOUT_MS }, keepAliveTimeout: 10_000 })
 
   const signedFetch = async (url: string | URL | Request, init: RequestInit = {}): Promise<Response> => {
     const { pathname, search } = new URL(String(url))
     const { method = 'GET' } = init
     const body = typeof init.body === 'string' ? init.body : ''
-    const authorization = authorizeRequest(principal, key, { method, authority, path: pathname + search, body }, clock.wallMs())
+    const signed = { method, authority: signedAuthority, path: pathname + search, body }
+    const authorization = authorizeRequest(principal, key, signed, clock.wallMs())
     const timeout = AbortSignal.timeout(timeoutMs)
     const res = await fetch(String(url), {
       method,
--- a/packages/control/src/api/request-verifier.ts
+++ b/packages/control/src/api/request-verifier.ts
@@ -29,8 +29,8 @@
       seen.delete(old)
     }
     if (seen.has(nonce) || seen.size >= MAX_NONCES) return false
-    // A request may be dated ahead by the skew and stays valid for the skew after that.
-    seen.set(nonce, nowMs + 2 * MAX_CLOCK_SKEW_MS)
+    // A request may be dated ahead by the skew and stays valid for the skew after that, its last millisecond included.
+    seen.set(nonce, nowMs + 2 * MAX_CLOCK_SKEW_MS + 1)
     return true
   }
 
--- a/packages/control/src/audit/archive.ts
+++ b/packages/control/src/audit/archive.ts
@@ -10,8 +10,8 @@
   /** Entries after a sequence number, oldest first; fewer than `limit` where entries are missing. */
   read: (afterSeq: number, limit: number) => Promise<AuditEntry[]>
   last: () => AuditAnchor
-  /** The earliest entry that waits because entries before it are missing. */
-  gapBefore: () => AuditEntry | undefined
+  /** First entry after a gap in the archive, given the last entry of the trail; undefined without a gap. */
+  gapBefore: (headSeq: number) => number | undefined
   /** Adds missing entries fetched from another control VM; false when they don't fit the chain. */
   fill: (entries: AuditEntry[]) => Promise<boolean>
   /** Waits until everything offered is synced to disk. */
@@ -20,7 +20,7 @@
 
 // 1000 entries of about 1 KB: a page is found by reading one or two files.
 const ENTRIES_PER_FILE = 1000
-// Entries that wait for the disk or for missing ones before them; later ones are fetched from another control VM.
+// Entries that wait for the disk or for missing ones before them; later ones are fetched by the gap filler.
 const MAX_HELD = 2000
 const FILE_PATTERN = /^audit-(\d{12})\.jsonl$/
 
@@ -127,9 +127,11 @@
       return found.slice(0, limit)
     },
     last: () => last,
-    gapBefore: () => {
-      const first = Math.min(...held.keys())
-      return first > last.seq + 1 ? held.get(first) : undefined
+    gapBefore: (headSeq) => {
+      if (last.seq >= headSeq || held.has(last.seq + 1)) return undefined
+      let first = headSeq + 1
+      for (const seq of held.keys()) if (seq > last.seq) first = Math.min(first, seq)
+      return first
     },
     fill: async (entries) => {
       const fresh = entries.filter((entry) => entry.seq > last.seq)
--- a/packages/control/src/audit/gap-filler.ts
+++ b/packages/control/src/audit/gap-filler.ts
@@ -10,18 +10,19 @@
 const PAGE_ENTRIES = 200
 
 /**
- * Fetches archive entries that this control VM lacks, after a lost disk for example, when it got the state as a snapshot.
+ * Fills the archive of this control VM after a lost or failed disk, when the state came as a snapshot or entries could not be written.
  * Returns when `signal` aborts.
  */
 export async function runGapFiller (
-  options: { archive: AuditArchive, sources: readonly AuditSource[], clock: Clock, log: Logger, signal: AbortSignal }
+  options: { archive: AuditArchive, headSeq: () => number, sources: readonly AuditSource[], clock: Clock, log: Logger, signal: AbortSignal }
 ): Promise<void> {
-  const { archive, sources, clock, log, signal } = options
+  const { archive, headSeq, sources, clock, log, signal } = options
+  const gapBefore = () => archive.gapBefore(headSeq())
 
   async function fillFrom (source: AuditSource): Promise<boolean> {
-    for (let gap = archive.gapBefore(); gap !== undefined && !signal.aborted; gap = archive.gapBefore()) {
+    for (let gap = gapBefore(); gap !== undefined && !signal.aborted; gap = gapBefore()) {
       const from = archive.last().seq
-      const entries = await source.page(from, Math.min(PAGE_ENTRIES, gap.seq - 1 - from))
+      const entries = await source.page(from, Math.min(PAGE_ENTRIES, gap - 1 - from))
       if (entries.length === 0) return false
       if (!await archive.fill(entries)) {
         log.error({ source: source.vmId, afterSeq: from }, 'Audit entries of another control VM do not fit the local archive; run "orioleslip audit verify"')
@@ -33,7 +34,7 @@
   }
 
   while (!signal.aborted) {
-    for (const source of archive.gapBefore() === undefined ? [] : sources) {
+    for (const source of gapBefore() === undefined ? [] : sources) {
       try {
         if (await fillFrom(source)) break
       } catch (err) {
--- a/packages/control/src/audit/trail.ts
+++ b/packages/control/src/audit/trail.ts
@@ -24,7 +24,7 @@
     const anchor = machine.auditAnchor()
     // The window is covered by the replicated state and preferred; only what it lacks comes from files.
     const archived = afterSeq < anchor.seq ? await archive.read(afterSeq, Math.min(limit, anchor.seq - afterSeq)) : []
-    if (archived.length > 0 && archived.at(-1)!.seq < anchor.seq) return archived
+    if (afterSeq + archived.length < anchor.seq) return archived
     return [...archived, ...machine.auditEntries().filter((entry) => entry.seq > afterSeq)].slice(0, limit)
   }
 
--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -125,9 +125,9 @@
     return fail(server.error.message)
   }
 
-  const sources = [...clients].map(([id, { api }]) =>
-    ({ vmId: id, page: (afterSeq: number, limit: number) => api.replica.auditPage.query({ afterSeq, limit }) }))
-  const filler = runGapFiller({ archive, sources, clock, log, signal: stopping.signal })
+  const sources = [{ vmId, page: trail.page }, ...[...clients].map(([id, { api }]) =>
+    ({ vmId: id, page: (afterSeq: number, limit: number) => api.replica.auditPage.query({ afterSeq, limit }) }))]
+  const filler = runGapFiller({ archive, headSeq: () => machine.auditHead().seq, sources, clock, log, signal: stopping.signal })
   const sampler = runMetrics(vmReport, metrics, clock, stopping.signal)
   log.info({ vmId, address: authority, dataDir: own.dataDir }, 'Control process is up')
   return ok({
--- /dev/null
+++ b/packages/control/src/testing/fake-log.ts
@@ -0,0 +1,43 @@
+import type { ProposeError, ReplicatedLog, ReplicaStatus, StateMachine } from '@orioleslip/core'
+import { errAsync, okAsync } from 'neverthrow'
+
+/** A log for tests that applies commands at once, in memory; its state can be set to fail. */
+export type FakeLog<Command, Reply> = ReplicatedLog<Command, Reply> & {
+  /** Commands in the order in which they were applied. */
+  applied: Command[]
+  /** False makes `confirmCurrent` fail, like a replica without contact to a quorum. */
+  current: boolean
+  /** Next proposals fail with these, in order, before they are applied. */
+  failures: ProposeError[]
+}
+
+/** Creates a fake log on a state machine. */
+export function createFakeLog<Command, Reply> (machine: Pick<StateMachine<Command, Reply, unknown>, 'apply'>): FakeLog<Command, Reply> {
+  const listeners = new Set<(index: number) => void>()
+  const status: ReplicaStatus = {
+    group: 'lists', vmId: 'c1', storageId: 's1', role: 'leader', term: 1, commitIndex: 0, lastIndex: 0, members: [], leaseMs: 500
+  }
+  const log: FakeLog<Command, Reply> = {
+    applied: [],
+    current: true,
+    failures: [],
+    propose: (cmd) => {
+      const failure = log.failures.shift()
+      if (failure !== undefined) return errAsync(failure)
+      log.applied.push(cmd)
+      const index = log.applied.length
+      // The real log passes commands on in the form in which they are stored.
+      const reply = machine.apply(index, JSON.parse(JSON.stringify(cmd)) as Command)
+      for (const listener of listeners) listener(index)
+      return okAsync(reply)
+    },
+    confirmCurrent: () => log.current ? okAsync(undefined) : errAsync({ kind: 'notCurrent', message: 'no contact with a quorum' }),
+    status: () => ({ ...status, commitIndex: log.applied.length, lastIndex: log.applied.length }),
+    onApplied: (listener) => {
+      listeners.add(listener)
+      return () => { listeners.delete(listener) }
+    },
+    close: () => Promise.resolve()
+  }
+  return log
+}
