--- a/packages/control/src/api/client.ts
+++ b/packages/control/src/api/client.ts
@@ -49,16 +49,24 @@
     const body = typeof init.body === 'string' ? init.body : ''
     const signed = { method, authority: signedAuthority, path: pathname + search, body }
     const authorization = authorizeRequest(principal, key, signed, clock.wallMs())
-    const timeout = AbortSignal.timeout(timeoutMs)
-    const res = await fetch(String(url), {
-      method,
-      headers: { 'content-type': 'application/json', authorization },
-      ...(method === 'GET' ? {} : { body }),
-      signal: init.signal ? AbortSignal.any([init.signal, timeout]) : timeout,
-      dispatcher
-    })
-    // undici's Response and the global one are the same interface with separate declarations.
-    return res as unknown as Response
+    // AbortSignal.any would keep an entry in a long-lived signal for each call.
+    const abort = new AbortController()
+    const cancel = () => abort.abort(new Error('the call was cancelled'))
+    const timer = setTimeout(() => abort.abort(new Error(`no answer within ${timeoutMs} ms`)), timeoutMs)
+    init.signal?.addEventListener('abort', cancel, { once: true })
+    try {
+      const res = await fetch(String(url), {
+        method,
+        headers: { 'content-type': 'application/json', authorization },
+        ...(method === 'GET' ? {} : { body }),
+        signal: abort.signal,
+        dispatcher
+      })
+      return new Response(await res.text(), { status: res.status, headers: { 'content-type': 'application/json' } })
+    } finally {
+      clearTimeout(timer)
+      init.signal?.removeEventListener('abort', cancel)
+    }
   }
 
   const api = createTRPCClient<ControlRouter>({ links: [httpLink({ url: `http://${authority}/trpc`, fetch: signedFetch })] })
--- a/packages/node/src/lists/poller.ts
+++ b/packages/node/src/lists/poller.ts
@@ -38,6 +38,8 @@
   const targets = controls.map(options.connect ?? ((peer) => connectPollTarget(peer, fleetKey, clock)))
   const listeners = new Set<() => void>()
   const stopping = new AbortController()
+  // One per poll: clients don't always remove their listeners from a signal.
+  let polling = new AbortController()
   let document: ListsDocument | undefined
   let index: ListsIndex | undefined
   let confirmed = false
@@ -82,11 +84,12 @@
 
   /** One poll; true when the control VM may be asked again at once. */
   async function poll (target: PollTarget): Promise<boolean> {
+    polling = new AbortController()
     const asked = needsFull ? -1 : revision()
     try {
       const answer = await target.since({
         vmId, revision: asked, waitMs: POLL_WAIT_MS, ...(callerAddress === undefined ? {} : { callerAddress })
-      }, stopping.signal)
+      }, polling.signal)
       const applied = apply(answer.change, target.vmId)
       if (!answer.confirmed) {
         lastProblem = `control VM ${target.vmId} can't confirm that its lists are current: ${answer.reason ?? 'no reason given'}`
@@ -151,6 +154,7 @@
     },
     stop: async () => {
       stopping.abort()
+      polling.abort()
       await running
       await Promise.all(targets.map((target) => target.close()))
     }
