--- /dev/null
+++ b/packages/cli/src/cli.test.ts
@@ -0,0 +1,128 @@
+import { createServer } from 'node:http'
+import { mkdtemp, readFile, rm, writeFile } from 'node:fs/promises'
+import type { AddressInfo } from 'node:net'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import test, { type ExecutionContext } from 'ava'
+import { startControl } from '@orioleslip/control'
+import { settingsSchema, systemClock } from '@orioleslip/core'
+import { pino } from 'pino'
+import { EXIT } from './exit-codes.js'
+import { runCli } from './program.js'
+import { createListFiles } from './testing/list-files.js'
+
+const KEY = 'operator-key-0123456789'
+
+async function freePort (): Promise<number> {
+  const server = createServer()
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+  const { port } = server.address() as AddressInfo
+  await new Promise((resolve) => server.close(resolve))
+  return port
+}
+
+/** A control process with one operator, and a function that runs commands against it. */
+async function startFleet (t: ExecutionContext) {
+  const dataDir = await mkdtemp(join(tmpdir(), 'orioleslip-control-'))
+  const port = await freePort()
+  const place = { address: '127.0.0.1', failureDomain: 'r1-a' }
+  const settings = settingsSchema.parse({
+    role: 'control',
+    vm: { id: 'c1', region: 'r1', ...place },
+    control: { apiPort: port, gossipPort: 1, dataDir },
+    controls: [{ vmId: 'c1', apiPort: port, gossipPort: 1, ...place }],
+    auth: { fleetKey: 'fleet-key-0123456789', operators: [{ name: 'ana', key: KEY }] }
+  })
+  const control = (await startControl(settings, { log: pino({ level: 'silent' }) }))._unsafeUnwrap()
+  t.teardown(async () => {
+    await control.stop()
+    await rm(dataDir, { recursive: true })
+  })
+  return async (argv: string[], env: NodeJS.ProcessEnv = {}) => {
+    const out: string[] = []
+    const notes: string[] = []
+    const code = await runCli(argv, {
+      out: (text) => out.push(text),
+      note: (line) => notes.push(line),
+      env: { ORIOLESLIP_CONFIG: undefined, ORIOLESLIP_CONTROLS: `127.0.0.1:${port}`, ORIOLESLIP_OPERATOR: 'ana', ORIOLESLIP_KEY: KEY, ...env },
+      clock: systemClock
+    })
+    return { code, out: out.join('\n'), notes: notes.join('\n'), json: () => JSON.parse(out.join('\n')) as Record<string, unknown> }
+  }
+}
+
+// Guards against a command line that works only with fakes: every step runs over HTTP against a real control process on disk.
+test('an operator sets up, edits, repeats, conflicts and verifies', async (t) => {
+  const run = await startFleet(t)
+  t.is((await run(['cluster', 'init'])).code, EXIT.ok)
+  t.like((await run(['cluster', 'init', '--json'])).json(), { kind: 'exists' })
+
+  const { dir, customers, plans } = await createListFiles()
+  t.teardown(() => rm(dir, { recursive: true }))
+  const edit = ['lists', 'edit', '--customers', customers, '--plans', plans, '--json']
+  t.is((await run(edit)).code, EXIT.usage)
+  const first = await run([...edit, '--base', '0', '--edit-id', 'edit-0001'])
+  t.like(first.json(), { kind: 'accepted', revision: 1, editId: 'edit-0001' })
+  t.deepEqual((await run([...edit, '--base', '0', '--edit-id', 'edit-0001'])).json(), first.json())
+  t.like(await run([...edit, '--base', '0']), { code: EXIT.conflict })
+  t.like((await run([...edit, '--base', '1', '--edit-id', 'edit-0001'])).json(), { kind: 'editIdReused' })
+
+  const out = join(dir, 'out')
+  t.is((await run(['lists', 'get', '--out', out])).code, EXIT.ok)
+  t.regex((await run(['lists', 'get', '--out', out])).notes, /the file exists; use --force/)
+  const plansFile = join(out, 'plans.toml')
+  await writeFile(plansFile, (await readFile(plansFile, 'utf8')).replace('burst = 20', 'burst = 30'))
+  t.regex((await run(['lists', 'diff', '--plans', plansFile])).out, /compared with revision 1\n~ plan basic\n {4}burst 20 -> 30/)
+  t.like((await run(['lists', 'edit', '--plans', plansFile, '--wait', '--json'])).json(), { kind: 'accepted', revision: 2, nodes: 0 })
+  t.is((await run(['lists', 'edit', '--plans', plansFile])).code, EXIT.conflict)
+
+  t.deepEqual(JSON.parse((await run(['lists', 'history', '--json'])).out).map((entry: { revision: number }) => entry.revision), [2, 1])
+  t.like((await run(['status', '--json'])).json(), { revision: 2, confirmed: true })
+  t.like(await run(['audit', 'verify']), { code: EXIT.ok })
+  t.regex((await run(['audit', 'show'])).out, /ana {2}edit from revision 0: conflict with revision 1/)
+})
+
+// Guards against attempts with a wrong key that leave no trace in the audit trail.
+test('an edit with a wrong key is denied and audited', async (t) => {
+  const run = await startFleet(t)
+  await run(['cluster', 'init'])
+  const { dir, customers, plans } = await createListFiles()
+  t.teardown(() => rm(dir, { recursive: true }))
+  const res = await run(['lists', 'edit', '--customers', customers, '--plans', plans, '--base', '0'], { ORIOLESLIP_KEY: 'wrong-key-0123456789' })
+  t.is(res.code, EXIT.denied)
+  t.regex(res.notes, /the signature does not match; check the key/)
+  t.regex((await run(['audit', 'show'])).out, /ana {2}edit: unauthenticated: the signature does not match/)
+})
+
+// Guards against answers that look current before the cluster exists, and against commands that fail without a remedy.
+test('commands without a cluster, settings or valid files name the remedy', async (t) => {
+  const run = await startFleet(t)
+  t.regex((await run(['status'])).out, /revision 0 \(not confirmed: no leader is known/)
+  t.regex((await run(['lists', 'get'])).out, /^# Not confirmed/)
+  t.like(await run(['status'], { ORIOLESLIP_KEY: undefined }), { code: EXIT.usage, notes: 'no operator key is set; use ORIOLESLIP_KEY or "key" in orioleslip.toml' })
+  t.is((await run(['status', '--control', 'localhost'])).code, EXIT.usage)
+  t.is((await run(['lists', 'frobnicate'])).code, EXIT.usage)
+  t.is((await run(['--help'])).code, EXIT.ok)
+  const { dir, customers, plans } = await createListFiles('branch-1')
+  t.teardown(() => rm(dir, { recursive: true }))
+  t.is((await run(['lists', 'validate', '--customers', customers, '--plans', plans])).out, 'valid: 1 customers, 1 plans')
+  await writeFile(customers, '[customers]\nbranch-1 = "gone"\n')
+  t.like(await run(['lists', 'validate', '--customers', customers, '--plans', plans]), {
+    code: EXIT.usage, notes: 'customers.branch-1: plan "gone" is not in the plans list; add it or change the customer'
+  })
+})
+
+// Guards against an explanation that is missed because only the first node is asked.
+test('explain collects the records of all nodes', async (t) => {
+  const run = await startFleet(t)
+  const node = createServer((req, res) => {
+    res.statusCode = req.url === '/.well-known/orioleslip/explain/req-1' ? 200 : 404
+    res.end(JSON.stringify({ decision: 'admitted' }))
+  })
+  await new Promise<void>((resolve) => node.listen(0, '127.0.0.1', resolve))
+  t.teardown(() => node.close())
+  const known = `127.0.0.1:${(node.address() as AddressInfo).port}`
+  const found = await run(['explain', 'req-1', '--node', `127.0.0.1:${await freePort()}`, '--node', known, '--json'])
+  t.like(found.json(), { found: [{ node: known, record: { decision: 'admitted' } }] })
+  t.is((await run(['explain', 'req-2', '--node', known])).code, EXIT.unavailable)
+})
