--- a/packages/control/src/api/client.ts
+++ b/packages/control/src/api/client.ts
@@ -25,6 +25,8 @@
 export type ControlClientOptions = {
   /** `address:port` of the control VM, as in its settings. */
   authority: string
+  /** What the signature names as the receiver, where it differs from `authority`: behind an address translation, for example. */
+  signedAuthority?: string
   principal: Principal
   key: string
   clock: Clock
@@ -38,24 +40,33 @@
 
 /** Creates a client of one control VM that signs each request. */
 export function createControlClient (options: ControlClientOptions): ControlClient {
-  const { authority, principal, key, clock, timeoutMs = DEFAULT_TIMEOUT_MS } = options
+  const { authority, signedAuthority = authority, principal, key, clock, timeoutMs = DEFAULT_TIMEOUT_MS } = options
   const dispatcher = new Agent({ connect: { timeout: CONNECT_TIMEOUT_MS }, keepAliveTimeout: 10_000 })
 
   const signedFetch = async (url: string | URL | Request, init: RequestInit = {}): Promise<Response> => {
     const { pathname, search } = new URL(String(url))
     const { method = 'GET' } = init
     const body = typeof init.body === 'string' ? init.body : ''
-    const authorization = authorizeRequest(principal, key, { method, authority, path: pathname + search, body }, clock.wallMs())
-    const timeout = AbortSignal.timeout(timeoutMs)
-    const res = await fetch(String(url), {
-      method,
-      headers: { 'content-type': 'application/json', authorization },
-      ...(method === 'GET' ? {} : { body }),
-      signal: init.signal ? AbortSignal.any([init.signal, timeout]) : timeout,
-      dispatcher
-    })
-    // undici's Response and the global one are the same interface with separate declarations.
-    return res as unknown as Response
+    const signed = { method, authority: signedAuthority, path: pathname + search, body }
+    const authorization = authorizeRequest(principal, key, signed, clock.wallMs())
+    // AbortSignal.any would keep an entry in a long-lived signal for each call.
+    const abort = new AbortController()
+    const cancel = () => abort.abort(new Error('the call was cancelled'))
+    const timer = setTimeout(() => abort.abort(new Error(`no answer within ${timeoutMs} ms`)), timeoutMs)
+    init.signal?.addEventListener('abort', cancel, { once: true })
+    try {
+      const res = await fetch(String(url), {
+        method,
+        headers: { 'content-type': 'application/json', authorization },
+        ...(method === 'GET' ? {} : { body }),
+        signal: abort.signal,
+        dispatcher
+      })
+      return new Response(await res.text(), { status: res.status, headers: { 'content-type': 'application/json' } })
+    } finally {
+      clearTimeout(timer)
+      init.signal?.removeEventListener('abort', cancel)
+    }
   }
 
   const api = createTRPCClient<ControlRouter>({ links: [httpLink({ url: `http://${authority}/trpc`, fetch: signedFetch })] })
--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -4,7 +4,7 @@
 import type { Logger } from 'pino'
 import { toAuthority } from './api/address.js'
 import { createAttemptLog } from './api/attempt-log.js'
-import { createControlClient, type ControlClient } from './api/client.js'
+import { callControl, createControlClient, type ControlClient } from './api/client.js'
 import { createClusterInit } from './api/cluster-init.js'
 import { createKeyCalls, type KeyGroup } from './api/key-calls.js'
 import { createNodeReports } from './api/node-reports.js'
@@ -72,6 +72,8 @@
   const keysLog = keys.value
   const groups = new Map<string, GroupLog>([['lists', listsLog], ['keys', keysLog]])
 
+  const namedGroups = [...groups].map(([name, group]) => ({ name, log: group }))
+
   const stopping = new AbortController()
   const confirm = createSharedConfirm(listsLog)
   const reports = createNodeReports(clock)
@@ -94,11 +96,11 @@
         peers: [...clients].map(([id, client]) => ({
           vmId: id,
           authority: client.authority,
-          report: () => client.api.replica.report.query(undefined, { signal: AbortSignal.timeout(REPORT_TIMEOUT_MS) })
+          report: () => callControl(client.api.replica.report.query(undefined, { signal: AbortSignal.timeout(REPORT_TIMEOUT_MS) }))
         })),
         confirm
       }),
-      clusterInit: createClusterInit({ ...common, groups: [...groups].map(([name, group]) => ({ name, log: group })), lists: listsLog, log }),
+      clusterInit: createClusterInit({ vmId, groups: namedGroups, lists: listsLog, clock, log }),
       auditPage: trail.page,
       auditVerify: trail.verify,
       node: createNodeService({ lists: listsLog, machine, confirm, reports, clock, stopping: stopping.signal }),
@@ -121,9 +123,9 @@
     return fail(server.error.message)
   }
 
-  const sources = [...clients].map(([id, { api }]) =>
-    ({ vmId: id, page: (afterSeq: number, limit: number) => api.replica.auditPage.query({ afterSeq, limit }) }))
-  const filler = runGapFiller({ archive, sources, clock, log, signal: stopping.signal })
+  const sources = [{ vmId, page: trail.page }, ...[...clients].map(([id, { api }]) =>
+    ({ vmId: id, page: (afterSeq: number, limit: number) => api.replica.auditPage.query({ afterSeq, limit }) }))]
+  const filler = runGapFiller({ archive, headSeq: () => machine.auditHead().seq, sources, clock, log, signal: stopping.signal })
   const sampler = runMetrics(vmReport, metrics, clock, stopping.signal)
   log.info({ vmId, address: authority, dataDir: own.dataDir }, 'Control process is up')
   return ok({
