Raise the admission level by 60% of the computed step

Cause: calls admitted before a rise still arrive after it, so that the computed step was taken twice and the target idled after it. Change: gain 0.6.

--- a/packages/node/src/admission/admission-level.ts
+++ b/packages/node/src/admission/admission-level.ts
@@ -35,6 +35,8 @@
 // a larger share would refuse calls that the target could have run once the queue is empty.
 const DRAIN_MS = 500
 const MAX_DRAIN_SHARE = 0.15
+// A rise takes effect one chain latency later, and calls of several priorities are still on their way; a full step refuses too much.
+const RISE_GAIN = 0.6
 // Entry nodes learn the new level one chain latency later; falling before that would only repeat the overload.
 const HOLD_TICKS = 3
 // Share of the spare capacity that a falling step gives away, first and at most.
@@ -115,7 +117,7 @@
         const drainShare = Math.min(MAX_DRAIN_SHARE, Math.max(0, delayMs - setpointMs) / DRAIN_MS)
         const wanted = levelFor(dispatched * (1 - drainShare))
         if (wanted > level) {
-          level = capByBand(wanted)
+          level = capByBand(level + RISE_GAIN * (wanted - level))
           holdTicks = HOLD_TICKS
         }
         share = FIRST_SHARE
