Halve the shortest queue to 25 ms

Cause: calls in the queue of the deep service hold slots of the services before it, which then shed lookups.

--- a/packages/node/src/admission/target-gate.ts
+++ b/packages/node/src/admission/target-gate.ts
@@ -7,8 +7,8 @@
 
 type Waiter = { req: GateRequest, dueMs: number, settle: (res: GateResult) => void }
 
-// The queue holds the calls of about one service time, and of at least 50 ms: callers keep their own slots while they wait here.
-const QUEUE_MS = 50
+// The queue holds the calls of about one service time, and of at least 25 ms: callers keep their own slots while they wait here.
+const QUEUE_MS = 25
 const MIN_QUEUE = 8
 const MEAN_WEIGHT = 0.05
 
