--- a/packages/node/src/admission/admission-level.ts
+++ b/packages/node/src/admission/admission-level.ts
@@ -29,7 +29,7 @@
 // Weight that each older window keeps. A single window of a slow target holds too few calls for a histogram.
 const MEMORY = 0.6
 // Queue delays below the setpoint are normal jitter of arrivals.
-const SETPOINT_MS = 10
+const SETPOINT_MS = 20
 const SETPOINT_SERVICE_SHARE = 0.25
 // A queue above the setpoint is drained over this time, with at most this share of the throughput. The queue is short, so that
 // a larger share would refuse calls that the target could have run once the queue is empty.
