Lower level and estimates faster once there is spare capacity

Cause: recovery after the overload took up to 2 s, most of it in the first small steps and in the entry node's estimate. Change: FALL_MS 200 to 100, FIRST_SHARE 0.05 to 0.1, SHARE_GROWTH 1.6 to 2.

--- a/packages/node/src/admission/admission-level.ts
+++ b/packages/node/src/admission/admission-level.ts
@@ -40,9 +40,9 @@
 // Entry nodes learn the new level one chain latency later; falling before that would only repeat the overload.
 const HOLD_TICKS = 3
 // Share of the spare capacity that a falling step gives away, first and at most.
-const FIRST_SHARE = 0.05
+const FIRST_SHARE = 0.1
 const MAX_SHARE = 0.5
-const SHARE_GROWTH = 1.6
+const SHARE_GROWTH = 2
 // Even with all slots in use the level falls a little while there is no queue, to find out whether demand has ended.
 const MIN_ADDED_SHARE = 0.01
 const MAX_STEP = 16
--- a/packages/node/src/admission/entry-admission.ts
+++ b/packages/node/src/admission/entry-admission.ts
@@ -6,7 +6,7 @@
 const MAX_OPERATIONS = 2000
 // Time constants of the estimate. Rising is faster: work on calls that will be dropped is wasted.
 const RISE_MS = 50
-const FALL_MS = 200
+const FALL_MS = 100
 // After this time without answers an estimate is stale: it is then bounded by what the other operations of the same service learn.
 // Without this, operations that are called rarely would stay refused until each has had a probe of its own.
 const HOLD_MS = 2000
