Let the admission level fall by up to 32 per tick

Cause: from the claims' band to zero the level needed at least 12 ticks, however idle the target was. Change: MAX_STEP 16 to 32; the share of the spare capacity still bounds the step where demand is known.

--- a/packages/node/src/admission/admission-level.ts
+++ b/packages/node/src/admission/admission-level.ts
@@ -45,7 +45,7 @@
 const SHARE_GROWTH = 2
 // Even with all slots in use the level falls a little while there is no queue, to find out whether demand has ended.
 const MIN_ADDED_SHARE = 0.01
-const MAX_STEP = 16
+const MAX_STEP = 32
 // Refused calls don't arrive; what arrived before they were refused is forgotten with a half-life of about 14 s.
 const OFFERED_MEMORY = 0.995
 // A band is entered only when the bands below it make up less than this share of the arrivals (probes remain).
