--- a/packages/node/src/limits/concurrency-limit.ts
+++ b/packages/node/src/limits/concurrency-limit.ts
@@ -56,7 +56,7 @@
   let lastCutMs = -Infinity
   let shedAt = Infinity
   let latencyMs = 0
-  let width = NARROW
+  let width = WIDE
   let lastStep = 0
   let inFlight = 0
   let restUntilMs = -Infinity
@@ -140,7 +140,7 @@
       learnt = capacity
       startedMs = clock.nowMs()
       lastCutMs = -Infinity
-      width = NARROW
+      width = WIDE
       lastStep = 0
       restUntilMs = -Infinity
       restart()
