--- a/packages/node/src/admission/admission-level.ts
+++ b/packages/node/src/admission/admission-level.ts
@@ -35,15 +35,17 @@
 // a larger share would refuse calls that the target could have run once the queue is empty.
 const DRAIN_MS = 500
 const MAX_DRAIN_SHARE = 0.15
+// A rise takes effect one chain latency later, and calls of several priorities are still on their way; a full step refuses too much.
+const RISE_GAIN = 0.6
 // Entry nodes learn the new level one chain latency later; falling before that would only repeat the overload.
 const HOLD_TICKS = 3
 // Share of the spare capacity that a falling step gives away, first and at most.
-const FIRST_SHARE = 0.05
+const FIRST_SHARE = 0.1
 const MAX_SHARE = 0.5
-const SHARE_GROWTH = 1.6
+const SHARE_GROWTH = 2
 // Even with all slots in use the level falls a little while there is no queue, to find out whether demand has ended.
 const MIN_ADDED_SHARE = 0.01
-const MAX_STEP = 16
+const MAX_STEP = 32
 // Refused calls don't arrive; what arrived before they were refused is forgotten with a half-life of about 14 s.
 const OFFERED_MEMORY = 0.995
 // A band is entered only when the bands below it make up less than this share of the arrivals (probes remain).
@@ -115,7 +117,7 @@
         const drainShare = Math.min(MAX_DRAIN_SHARE, Math.max(0, delayMs - setpointMs) / DRAIN_MS)
         const wanted = levelFor(dispatched * (1 - drainShare))
         if (wanted > level) {
-          level = capByBand(wanted)
+          level = capByBand(level + RISE_GAIN * (wanted - level))
           holdTicks = HOLD_TICKS
         }
         share = FIRST_SHARE
