--- a/packages/lab/src/fleet/fleet.ts
+++ b/packages/lab/src/fleet/fleet.ts
@@ -53,7 +53,8 @@
   ofService: (service: string) => FleetVm[]
   operator: (args: string[]) => Promise<{ code: number, stdout: string, stderr: string }>
   setLists: (lists: Lists) => Promise<void>
-  stop: () => Promise<void>
+  /** Ends all processes and, unless told otherwise, removes the folder with settings and logs. */
+  stop: (keepFolder?: boolean) => Promise<void>
 }
 
 const DAEMON = fileURLToPath(import.meta.resolve('@orioleslip/daemon/main'))
@@ -100,10 +101,10 @@
     ofService: (service) => vms.filter((vm) => vm.spec.target?.service === service),
     operator,
     setLists: (lists) => loadLists(folder, operator, lists),
-    stop: async () => {
+    stop: async (keepFolder = false) => {
       await Promise.all(vms.flatMap((vm) => [vm.node.stop('SIGKILL'), vm.target?.stop('SIGKILL')]))
       await Promise.all(controls.map((control) => control.process.stop('SIGKILL')))
-      rmSync(folder, { recursive: true, force: true })
+      if (!keepFolder) rmSync(folder, { recursive: true, force: true })
     }
   }
   try {
--- a/packages/lab/src/target/stand-in-target.ts
+++ b/packages/lab/src/target/stand-in-target.ts
@@ -34,7 +34,11 @@
   /** Bytes of filler in each answer. */
   answerBytes: z.number().int().min(0).default(0),
   /** Downstream calls by method and first path segment, for example `GET /shifts`. */
-  downstream: z.record(z.string(), z.array(downstreamSchema)).default({})
+  downstream: z.record(z.string(), z.array(downstreamSchema)).default({}),
+  /** Times that it repeats a failed downstream call, as client libraries do; 0 leaves this to the node. */
+  downstreamRetries: z.number().int().min(0).default(0),
+  /** Wait before such a repetition, in ms. */
+  downstreamRetryDelayMs: z.number().min(0).default(0)
 })
 export type TargetSpec = z.input<typeof targetSpecSchema>
 
@@ -59,6 +63,8 @@
   wastedMs: number
   /** Times that the operation ran, by idempotency key. */
   runsByKey: Record<string, number>
+  /** Repetitions of downstream calls by the target itself. */
+  downstreamRetries: number
 }
 
 export type StandInTarget = { counts: () => TargetCounts, close: () => Promise<void> }
@@ -71,7 +77,7 @@
   const agent = new Agent({ connections: 256, pipelining: 1, keepAliveTimeout: 30_000 })
   const instance = randomUUID()
   const counts: TargetCounts = {
-    service: spec.service, started: 0, finished: 0, cancelled: 0, shed: 0, busyMs: 0, wastedMs: 0, runsByKey: {}
+    service: spec.service, started: 0, finished: 0, cancelled: 0, shed: 0, busyMs: 0, wastedMs: 0, runsByKey: {}, downstreamRetries: 0
   }
   const behaviour = { workFactor: 1, failing: false, announce: true, state: spec.coldStartMs > 0 ? 'starting' : 'ready' }
   const nodeUrl = `http://${spec.host}:${spec.nodePort}`
@@ -96,9 +102,24 @@
   }
 
   const callDownstream = async (req: IncomingMessage, call: DownstreamCall, signal: AbortSignal): Promise<unknown> => {
+    for (let tries = 0; ; tries++) {
+      try {
+        return await callOnce(req, call, signal)
+      } catch (err) {
+        // Answers below 500 other than 429 would be the same the next time.
+        const final = err instanceof DownstreamError && !err.repeatable
+        if (final || signal.aborted || tries >= spec.downstreamRetries) throw err
+        counts.downstreamRetries++
+        await sleep(spec.downstreamRetryDelayMs, signal)
+      }
+    }
+  }
+
+  const callOnce = async (req: IncomingMessage, call: DownstreamCall, signal: AbortSignal): Promise<unknown> => {
     const headers: Record<string, string> = { [HEADERS.traceparent]: String(req.headers[HEADERS.traceparent] ?? '') }
     const key = req.headers[HEADERS.idempotencyKey]
-    if (typeof key === 'string') headers[HEADERS.idempotencyKey] = `${key}/${call.service}`
+    // Only calls that change something carry a key; repeated reads are no duplicates.
+    if (typeof key === 'string' && call.method === 'POST') headers[HEADERS.idempotencyKey] = `${key}/${call.service}`
     const res = await request(`${nodeUrl}/${call.service}${call.path}`, { method: call.method, headers, dispatcher: agent, signal })
     const body = await res.body.json()
     if (res.statusCode >= 400) throw new DownstreamError(call.service, res)
@@ -194,9 +215,11 @@
 class DownstreamError extends Error {
   readonly status: number
   readonly retryAfter: string | undefined
+  readonly repeatable: boolean
   constructor (service: string, res: Dispatcher.ResponseData) {
     super(`the call to ${service} ended with ${res.statusCode}`)
     this.status = res.statusCode >= 500 ? res.statusCode : 502
+    this.repeatable = res.statusCode >= 500 || res.statusCode === 429
     const retryAfter = res.headers[HEADERS.retryAfter]
     this.retryAfter = typeof retryAfter === 'string' ? retryAfter : undefined
   }
