Simulate link delays between the VMs of a fleet

Cause: all processes of a fleet run on loopback, so calls between regions cost nothing and key register trips are too short.

Change: processes can load a module that delays both directions of their TCP connections by the place of the other VM; scenarios name the delays. Datagrams are not delayed.

Conclusion: used by the scenario runs.

--- a/packages/lab/src/fleet/child.ts
+++ b/packages/lab/src/fleet/child.ts
@@ -12,10 +12,17 @@
   stop: (signal?: NodeJS.Signals) => Promise<number | NodeJS.Signals>
 }
 
+/** A module to load before the program, and variables that it reads. */
+export type Preload = { module: string, env: Record<string, string> }
+
 /** Starts a Node.js program; its output goes to `logFile`. */
-export function startProcess (name: string, script: string, args: string[], logFile: string): FleetProcess {
+export function startProcess (name: string, script: string, args: string[], logFile: string, preload?: Preload): FleetProcess {
   const log = openSync(logFile, 'a')
-  const child: ChildProcess = spawn(process.execPath, ['--max-old-space-size=256', script, ...args], { stdio: ['ignore', log, log] })
+  const flags = ['--max-old-space-size=256', ...(preload === undefined ? [] : ['--import', preload.module])]
+  const child: ChildProcess = spawn(process.execPath, [...flags, script, ...args], {
+    stdio: ['ignore', log, log],
+    env: { ...process.env, ...preload?.env }
+  })
   let result: number | NodeJS.Signals | undefined
   const exit = new Promise<number | NodeJS.Signals>((resolve) => {
     child.once('exit', (code, signal) => {
--- a/packages/lab/src/fleet/fleet.ts
+++ b/packages/lab/src/fleet/fleet.ts
@@ -7,7 +7,8 @@
 import { stringify } from 'smol-toml'
 import { request } from 'undici'
 import type { TargetCounts, TargetSpec } from '../target/stand-in-target.js'
-import { startProcess, type FleetProcess } from './child.js'
+import { startProcess, type FleetProcess, type Preload } from './child.js'
+import type { LinkDelays, LinkPlan, Place } from './link-plan.js'
 import { runOperatorCommand } from './operator.js'
 import { freePort } from './ports.js'
 import { HOST, writeControlSettings, writeNodeSettings, type ControlVm, type TargetVm } from './settings-files.js'
@@ -25,6 +26,8 @@
   controls: Array<{ vmId: string, region: string, failureDomain: string }>
   vms: VmSpec[]
   lists: Lists
+  /** Simulated delays of TCP connections between nodes and control VMs; none when absent. */
+  links?: LinkDelays
 }
 
 /** A VM of a running fleet. */
@@ -59,6 +62,7 @@
 
 const DAEMON = fileURLToPath(import.meta.resolve('@orioleslip/daemon/main'))
 const TARGET = fileURLToPath(new URL('../target/main.js', import.meta.url))
+const DELAYED_SOCKETS = new URL('./delayed-sockets.js', import.meta.url).href
 const READY_TIMEOUT_MS = 30_000
 const POLL_MS = 100
 
@@ -91,7 +95,10 @@
   for (const control of spec.controls) {
     controlVms.push({ ...control, address: HOST, apiPort: await freePort(), gossipPort: await freePort() })
   }
-  const controls = controlVms.map((vm) => startControl(folder, controlVms, vm))
+  const targetVms: TargetVm[] = []
+  for (const vm of spec.vms) targetVms.push(await choosePorts(vm))
+  const preload = spec.links === undefined ? () => undefined : writeLinkPlan(folder, spec.links, controlVms, targetVms)
+  const controls = controlVms.map((vm) => startControl(folder, controlVms, vm, preload(vm)))
   const operator = (args: string[]) => runOperatorCommand(controlVms, args)
   const vms: FleetVm[] = []
   const fleet: Fleet = {
@@ -114,7 +121,7 @@
       return true
     })
     await fleet.setLists(spec.lists)
-    for (const vm of spec.vms) vms.push(await startVm(folder, controlVms, vm))
+    spec.vms.forEach((vmSpec, i) => vms.push(startVm(folder, controlVms, vmSpec, targetVms[i]!, preload(targetVms[i]!))))
     await Promise.all(vms.map((vm) => waitForNode(vm, spec)))
     return fleet
   } catch (err) {
@@ -123,9 +130,22 @@
   }
 }
 
-function startControl (folder: string, all: ControlVm[], vm: ControlVm): FleetControl {
+/** Writes the plan that the processes read and gives what each of them has to load. */
+function writeLinkPlan (folder: string, delays: LinkDelays, controls: ControlVm[], vms: TargetVm[]): (place: Place) => Preload {
+  const plan: LinkPlan = { ...delays, places: {} }
+  for (const { region, failureDomain, apiPort } of controls) plan.places[apiPort] = { region, failureDomain }
+  for (const { region, failureDomain, peerPort } of vms) plan.places[peerPort] = { region, failureDomain }
+  const planFile = join(folder, 'links.json')
+  writeFileSync(planFile, JSON.stringify(plan))
+  return ({ region, failureDomain }) => ({
+    module: DELAYED_SOCKETS,
+    env: { ORIOLESLIP_LAB_PLACE: JSON.stringify({ region, failureDomain, planFile }) }
+  })
+}
+
+function startControl (folder: string, all: ControlVm[], vm: ControlVm, preload: Preload | undefined): FleetControl {
   const file = writeControlSettings(folder, all, vm)
-  const start = () => startProcess(vm.vmId, DAEMON, ['--config', file], join(folder, `${vm.vmId}.log`))
+  const start = () => startProcess(vm.vmId, DAEMON, ['--config', file], join(folder, `${vm.vmId}.log`), preload)
   const control: FleetControl = {
     vm,
     process: start(),
@@ -138,9 +158,8 @@
   return control
 }
 
-async function startVm (folder: string, controls: ControlVm[], spec: VmSpec): Promise<FleetVm> {
-  const { vmId, region, failureDomain } = spec
-  const vm: TargetVm = {
+async function choosePorts ({ vmId, region, failureDomain }: VmSpec): Promise<TargetVm> {
+  return {
     vmId,
     region,
     failureDomain,
@@ -149,8 +168,12 @@
     gossipPort: await freePort(),
     targetPort: await freePort()
   }
+}
+
+function startVm (folder: string, controls: ControlVm[], spec: VmSpec, vm: TargetVm, preload: Preload | undefined): FleetVm {
+  const { vmId } = vm
   const file = writeNodeSettings(folder, controls, vm, spec.node)
-  const startNode = () => startProcess(vmId, DAEMON, ['--config', file], join(folder, `${vmId}.log`))
+  const startNode = () => startProcess(vmId, DAEMON, ['--config', file], join(folder, `${vmId}.log`), preload)
   const startTarget = () => spec.target === undefined
     ? undefined
     : startProcess(`${vmId}-target`, TARGET, [targetArgument(spec.target, vm)], join(folder, `${vmId}-target.log`))
--- a/packages/lab/src/scenarios/fleet-spec.ts
+++ b/packages/lab/src/scenarios/fleet-spec.ts
@@ -23,7 +23,7 @@
     ...(side === 'baseline' ? { node: { overloadControl: false } } : {})
   })))
   const controls = Array.from({ length: scenario.controls }, (_, i) => ({ vmId: `control-${i + 1}`, ...placeOf(scenario, i) }))
-  return { controls, vms, lists: listsOf(scenario) }
+  return { controls, vms, lists: listsOf(scenario), links: scenario.links }
 }
 
 /** Server `i` of a service goes to region i modulo their number, and to the next failure domain there with each round. */
--- a/packages/lab/src/scenarios/schema.ts
+++ b/packages/lab/src/scenarios/schema.ts
@@ -54,6 +54,8 @@
   name,
   description: z.string().default(''),
   regions: z.array(regionSchema).min(1),
+  /** One-way delays of the links between VMs, in ms. */
+  links: z.strictObject({ betweenDomainsMs: z.number().min(0), betweenRegionsMs: z.number().min(0) }),
   controls: z.union([z.literal(1), z.literal(3), z.literal(5)]).default(3),
   services: z.array(serviceSchema).min(1),
   operations: z.array(operationSchema).min(1),
