Make two tests independent of the machine's load

Cause: under a load of 25 the 50 ms deadline passed before the call reached the target, and the audit entry of a denied edit, which is written after the answer, was read too early. Change: the deadline test allows 1 s; the audit test repeats the reading until the entry is there (ava's timeout bounds it). Conclusion: the same properties are checked; neither depends on time.

--- a/packages/cli/src/cli.test.ts
+++ b/packages/cli/src/cli.test.ts
@@ -91,7 +91,11 @@
   const res = await run(['lists', 'edit', '--customers', customers, '--plans', plans, '--base', '0'], { ORIOLESLIP_KEY: 'wrong-key-0123456789' })
   t.is(res.code, EXIT.denied)
   t.regex(res.notes, /the signature does not match; check the key/)
-  t.regex((await run(['audit', 'show'])).out, /ana {2}edit: unauthenticated: the signature does not match/)
+  // The attempt is recorded after the answer, so the entry may take a moment.
+  const entry = /ana {2}edit: unauthenticated: the signature does not match/
+  let trail = (await run(['audit', 'show'])).out
+  while (!entry.test(trail)) trail = (await run(['audit', 'show'])).out
+  t.regex(trail, entry)
 })
 
 // Guards against answers that look current before the cluster exists, and against commands that fail without a remedy.
--- a/packages/node/src/calls/call-path.test.ts
+++ b/packages/node/src/calls/call-path.test.ts
@@ -201,10 +201,11 @@
   t.deepEqual([res.status, res.text, runs], [200, 'done', 1])
 })
 
+// The deadline leaves a loaded machine enough time to bring the call to the target.
 test('a deadline ends a call, and its outcome is unknown once the target holds it', async (t) => {
   let closed = false
   const pair = await httpTarget(t, (req) => { req.socket.on('close', () => { closed = true }) })
-  const res = await call(pair, 'GET', '/shop/items/1', { ...CUSTOMER, 'orioleslip-timeout-ms': '50' })
+  const res = await call(pair, 'GET', '/shop/items/1', { ...CUSTOMER, 'orioleslip-timeout-ms': '1000' })
   t.deepEqual([res.status, res.outcome], [504, 'unknown'])
   await until(() => closed)
 })
--- a/packages/node/src/idempotency/control-call.ts
+++ b/packages/node/src/idempotency/control-call.ts
@@ -11,7 +11,8 @@
 type KeyProcedure = Parameters<ControlClient['keyCall']>[0]
 
 /** Calls the key register through one control VM and moves to the next one when it gives no answer. */
-export function createControlCall ({ controls, fleetKey, clock, random }: ControlCallOptions): { call: ControlCall, close: () => Promise<void> } {
+export function createControlCall (options: ControlCallOptions): { call: ControlCall, close: () => Promise<void> } {
+  const { controls, fleetKey, clock, random } = options
   const clients = controls.map((peer) => createControlClient({
     authority: toAuthority(peer.address, peer.apiPort),
     principal: { kind: 'fleet' },
