End a fleet's processes when the tool that started it ends early

Cause: the demonstration died of a closed pipe and left three control processes running. Change: the lab keeps its running children and kills them on exit. Measurement: found by 'npm run demo | head'; three daemons with parent 1 before.

--- a/packages/lab/src/fleet/child.ts
+++ b/packages/lab/src/fleet/child.ts
@@ -15,6 +15,10 @@
 /** A module to load before the program, and variables that it reads. */
 export type Preload = { module: string, env: Record<string, string> }
 
+const running = new Set<ChildProcess>()
+// A tool that ends early, by an exception or a closed pipe, must not leave its fleet behind.
+process.on('exit', () => { for (const child of running) child.kill('SIGKILL') })
+
 /** Starts a Node.js program; its output goes to `logFile`. */
 export function startProcess (name: string, script: string, args: string[], logFile: string, preload?: Preload): FleetProcess {
   const log = openSync(logFile, 'a')
@@ -23,9 +27,11 @@
     stdio: ['ignore', log, log],
     env: { ...process.env, ...preload?.env }
   })
+  running.add(child)
   let result: number | NodeJS.Signals | undefined
   const exit = new Promise<number | NodeJS.Signals>((resolve) => {
     child.once('exit', (code, signal) => {
+      running.delete(child)
       result = code ?? signal ?? 'SIGKILL'
       resolve(result)
     })
--- a/packages/node/src/membership.ts
+++ b/packages/node/src/membership.ts
@@ -11,7 +11,8 @@
   const ports = role === 'node'
     ? { peerPort: settings.node?.peerPort ?? 0, callerPort: settings.node?.callerPort ?? 0, gossipPort: settings.node?.gossipPort ?? 0 }
     : { peerPort: settings.control?.apiPort ?? 0, callerPort: 0, gossipPort: settings.control?.gossipPort ?? 0 }
-  const self = createSelfRecord({ vmId: vm.id, role, host: vm.address, ...ports, region: vm.region, failureDomain: vm.failureDomain }, clock)
+  const { id: vmId, address: host, region, failureDomain } = vm
+  const self = createSelfRecord({ vmId, role, host, ...ports, region, failureDomain }, clock)
   const onError = (err: Error) => log.debug({ err: err.message }, 'a gossip datagram was not sent')
   const socket = await openUdpSocket({ host: vm.address, port: ports.gossipPort }, onError)
   const seeds = controls.filter((peer) => peer.vmId !== vm.id).map((peer) => ({ host: peer.address, port: peer.gossipPort }))
