--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,1 +1,2 @@
 export * from './members/index.js'
+export * from './quotas/index.js'
--- /dev/null
+++ b/packages/node/src/quotas/index.ts
@@ -0,0 +1,2 @@
+export { createQuotas } from './quotas.js'
+export type { QuotasOptions } from './quotas.js'
--- /dev/null
+++ b/packages/node/src/quotas/owner.ts
@@ -0,0 +1,80 @@
+import { fnv1a } from '@orioleslip/core'
+import type { Member, MembersView } from '@orioleslip/core'
+
+const MAX_CACHED_OWNERS = 20_000
+
+/** Members as the quotas see them. */
+export type Owners = {
+  /** VM that owns the customer's quota; undefined while no node is known. */
+  ownerOf: (customer: string) => string | undefined
+  /** Share of the known nodes that is alive, in (0, 1]; suspects count as not seen, which errs on the safe side. */
+  visibleFraction: () => number
+  /** Nodes not yet forgotten, failed ones included. */
+  knownNodes: () => number
+}
+
+type Snapshot = { candidates: Array<{ vmId: string, salt: number }>, fraction: number, known: number }
+
+function snapshotOf (members: Member[]): Snapshot {
+  const nodes = members.filter(({ record, liveness }) => record.role === 'node' && liveness !== 'left')
+  const alive = nodes.filter(({ liveness }) => liveness === 'alive')
+  // A suspect is replaced as owner at once: its customers would live on the small fallback shares until it is declared failed.
+  const ready = alive.filter(({ record }) => record.target?.state === 'ready')
+  const candidates = (ready.length > 0 ? ready : alive).map(({ record: { vmId } }) => ({ vmId, salt: fnv1a(vmId) }))
+  const known = Math.max(1, nodes.length)
+  return { candidates, fraction: Math.max(1, alive.length) / known, known }
+}
+
+/** Rendezvous weight of a node for a customer: a 32-bit mix of both hashes. */
+function weight (customerHash: number, salt: number): number {
+  let mixed = Math.imul(customerHash ^ salt, 0x9e3779b1)
+  mixed ^= mixed >>> 15
+  mixed = Math.imul(mixed, 0x85ebca6b)
+  mixed ^= mixed >>> 13
+  mixed = Math.imul(mixed, 0xc2b2ae35)
+  return (mixed ^ (mixed >>> 16)) >>> 0
+}
+
+function heaviest (customer: string, { candidates }: Snapshot): string | undefined {
+  const customerHash = fnv1a(customer)
+  let best: string | undefined
+  let bestWeight = -1
+  for (const { vmId, salt } of candidates) {
+    const own = weight(customerHash, salt)
+    // Equal weights are decided by name, so that every node decides alike.
+    if (own > bestWeight || (own === bestWeight && best !== undefined && vmId < best)) {
+      best = vmId
+      bestWeight = own
+    }
+  }
+  return best
+}
+
+/** Follows the member table; `onOwnersChanged` runs after each change of the candidates. */
+export function createOwners (members: MembersView, onOwnersChanged: () => void): Owners {
+  let snapshot = snapshotOf(members.all())
+  let cached = new Map<string, string | undefined>()
+
+  members.onChange(() => {
+    const before = snapshot.candidates
+    snapshot = snapshotOf(members.all())
+    const ids = new Set(before.map(({ vmId }) => vmId))
+    if (before.length === snapshot.candidates.length && snapshot.candidates.every(({ vmId }) => ids.has(vmId))) return
+    cached = new Map()
+    onOwnersChanged()
+  })
+
+  return {
+    ownerOf: (customer) => {
+      const known = cached.get(customer)
+      if (known !== undefined) return known
+      const owner = heaviest(customer, snapshot)
+      // Bounds the memory for customers that come once; the owners of the others are computed again.
+      if (cached.size >= MAX_CACHED_OWNERS) cached = new Map()
+      cached.set(customer, owner)
+      return owner
+    },
+    visibleFraction: () => snapshot.fraction,
+    knownNodes: () => snapshot.known
+  }
+}
