Limit the log lines of two processes with one VM id

Cause: two processes with the same VM id refute each other several times per second and would log each time. Change: the warning comes once per 100 conflicts; tests for this case, for datagram sizes with 64-character VM ids and for quotas that start with a full burst. Conclusion: the conflict is visible to operators and stays cheap.

--- a/packages/node/src/members/members.test.ts
+++ b/packages/node/src/members/members.test.ts
@@ -5,7 +5,7 @@
 import { decodeMessage, encodeMessage, updatesOf } from './message.js'
 import { createSimWorld } from './sim-world.js'
 import type { SimMember, SimOptions } from './sim-world.js'
-import { FORGET_FAILED_MS, FORGET_LEFT_MS } from './timing.js'
+import { FORGET_FAILED_MS, FORGET_LEFT_MS, MAX_DATAGRAM_BYTES } from './timing.js'
 
 const SEED_HOST = '10.0.0.1'
 const FLEET_KEY = 'key-of-the-simulated-fleet'
@@ -181,6 +181,28 @@
   })
 }
 
+// Guards against datagrams above the path MTU, which would be fragmented or lost, when names have their full length.
+test('datagrams stay within 1400 bytes with the longest VM ids', async (t) => {
+  const world = createSimWorld({ seed: 4, delayMs: 20, lossRate: 0.02, seeds: [SEED_HOST] })
+  const fleet = Array.from({ length: 40 }, (_, i) => world.add(`node-${i}`.padEnd(64, 'x')))
+  await world.advance(8000)
+  t.true(fleet.every(({ members }) => members.knownCount() === 40))
+  t.true(world.stats.largest > 1000 && world.stats.largest <= MAX_DATAGRAM_BYTES)
+})
+
+// Guards against a silent or unbounded quarrel of two processes that were given the same VM id.
+test('two processes with one VM id keep the rest of the fleet alive and within its byte budget', async (t) => {
+  const { world, fleet, at } = await joinedFleet(20)
+  world.add('node-5')
+  const before = world.stats.bytes
+  await world.advance(30_000)
+  const rest = fleet.filter((member) => member !== at(5))
+  t.true(allAlive(rest))
+  const sentPerSecond = (world.stats.bytes - before) / 30 / 21
+  t.log({ sentPerSecond: Math.round(sentPerSecond) })
+  t.true(sentPerSecond <= 4000)
+})
+
 // Guards against forged, damaged or foreign datagrams.
 test('only datagrams signed with the fleet key are decoded', (t) => {
   const data = encodeMessage(FLEET_KEY, { kind: 'ping', to: 'b', from: 'a', incarnation: 1, seq: 2, updates: [] })
--- a/packages/node/src/members/own-record.ts
+++ b/packages/node/src/members/own-record.ts
@@ -3,6 +3,9 @@
 import { updateOf } from './table.js'
 import type { Update } from './update.js'
 
+/** Two processes with one VM id refute each other several times per second. */
+const CONFLICTS_PER_LOG = 100
+
 /** Logger as far as membership needs it. */
 export type Log = Pick<Logger, 'debug' | 'info' | 'warn'>
 
@@ -20,6 +23,7 @@
 export function createOwnRecord (initial: MemberRecord, log: Log): OwnRecord {
   let own = initial
   let left = false
+  let conflicts = 0
   return {
     record: () => own,
     update: (full) => updateOf(own, left ? 'left' : 'alive', full),
@@ -34,12 +38,14 @@
       if (older && update.liveness === 'alive') return false
       // A record from the future of this process was made by a predecessor whose clock ran ahead, or by a second process.
       const other = update.record
-      if (other !== undefined && update.liveness === 'alive' && (other.host !== own.host || other.gossipPort !== own.gossipPort)) {
+      const elsewhere = other !== undefined && update.liveness === 'alive' && (other.host !== own.host || other.gossipPort !== own.gossipPort)
+      if (elsewhere && conflicts++ % CONFLICTS_PER_LOG === 0) {
         log.warn({ vmId: own.vmId, otherHost: other.host, otherPort: other.gossipPort },
           'another process uses this VM id; stop it or give it its own vm.id in the settings')
       }
       own = { ...own, incarnation: update.incarnation + 1 }
-      log.info({ statement: update.liveness, incarnation: own.incarnation }, 'refuted a statement about this process')
+      const level = elsewhere ? 'debug' : 'info'
+      log[level]({ statement: update.liveness, incarnation: own.incarnation }, 'refuted a statement about this process')
       return true
     }
   }
--- a/packages/node/src/quotas/quotas.test.ts
+++ b/packages/node/src/quotas/quotas.test.ts
@@ -160,6 +160,8 @@
     const granted: number[] = []
     const owner = fleet.ownerOf() ?? ''
     const down = fleet.ids.indexOf(owner)
+    // A long idle time before the load leaves the whole burst to be used.
+    await fleet.clock.advance(60_000)
     const isUp = (i: number) => i !== down
     await run(fleet, 5000, load, granted, isUp)
     fleet.net.reaches = (_from, to) => to !== owner
@@ -187,6 +189,7 @@
   const fleet = createFleet(10, 10)
   const load = { ratePerSecond: 100, burst: 50, perSecond: 400, seed: 5, skew: 1 }
   const near = (id: string) => fleet.ids.indexOf(id) < 5
+  await fleet.clock.advance(60_000)
   await run(fleet, 5000, load, [])
   fleet.net.reaches = (from, to) => near(from) === near(to)
   const unnoticed: number[] = []
