--- a/packages/lab/src/fuzz/world.ts
+++ b/packages/lab/src/fuzz/world.ts
@@ -23,8 +23,10 @@
 const LINK_TIMEOUT_MS = 3000
 const TOKEN_LIFETIME_MS = 7_200_000
 
-// Odd keys are UUIDv7 made at the start of the simulation, even ones have no time.
-const keyName = (key: number) => key % 2 === 0 ? `key-${key}` : `${START_MS.toString(16).padStart(12, '0').replace(/^(.{8})/, '$1-')}-7000-8000-00000000000${key}`
+// Odd keys are UUIDv7 by a caller whose clock is ahead, even ones have no time.
+const KEY_TIME_HEX = (START_MS + 1_800_000).toString(16).padStart(12, '0')
+const keyName = (key: number) =>
+  key % 2 === 0 ? `key-${key}` : `${KEY_TIME_HEX.slice(0, 8)}-${KEY_TIME_HEX.slice(8)}-7000-8000-00000000000${key}`
 
 // Each call in flight listens to its link.
 function newLink (): AbortController {
