Bound the register's time by the newest token

Cause: time enters the key register by the leader's clock only; one leader with a clock far ahead would expire every record. Change: a command can't move the time beyond the end of its token's lifetime; the guard limits deadlines to one hour. Conclusion: a wrong leader clock refuses calls as not-run and costs at most two hours of retention.

--- a/packages/control/src/keys/key-machine.test.ts
+++ b/packages/control/src/keys/key-machine.test.ts
@@ -138,6 +138,17 @@
   t.deepEqual(claim(2), { type: 'claim', result: { kind: 'finished', run: finishedRun } })
 })
 
+// Guards against the loss of all records, and thereby second runs, when a leader has a wrong clock.
+test('a leader whose clock is ten days ahead expires no record of the last hours', (t) => {
+  const { claim, time, token } = setup()
+  claim(1)
+  time.nowMs += 240 * HOUR_MS
+  t.deepEqual(claim(token(2, START_MS + 1000), 'l'), claimed('cancelled'))
+  time.nowMs = START_MS + 2000
+  t.deepEqual(claim(token(3, time.nowMs)), running(0))
+  t.deepEqual(claim(token(4, time.nowMs), 'l'), claimed('granted'))
+})
+
 // Guards against eviction of old keys by new ones, and against a register that stays full.
 test('a full register refuses new keys until old ones expire', (t) => {
   const { claim, time, token } = setup({ keyLimit: 2 })
--- a/packages/control/src/keys/key-machine.ts
+++ b/packages/control/src/keys/key-machine.ts
@@ -140,7 +140,10 @@
   }
 
   function apply (_index: number, cmd: KeyCommand): KeyReply {
-    nowMs = Math.max(nowMs, cmd.wallMs)
+    // A leader whose clock is far ahead must not expire all records: the time never passes the end of the newest token's lifetime,
+    // so its commands refuse tokens instead.
+    const createdMs = uuid7TimeMs(cmd.token) ?? 0
+    nowMs = Math.max(nowMs, Math.min(cmd.wallMs, createdMs + TOKEN_LIFETIME_MS))
     expire(cmd.retentionMs)
     fences.expire(nowMs)
     const id = digest(JSON.stringify([cmd.customer, cmd.key]))
--- a/packages/node/src/idempotency/once-guard.ts
+++ b/packages/node/src/idempotency/once-guard.ts
@@ -46,6 +46,8 @@
 
 const RETRY_AFTER_REGISTER_S = 2
 const RETRY_AFTER_FULL_S = 60
+// Longest deadline of a claim, in ms; half the time for which the register accepts a token.
+const DEADLINE_LIMIT_MS = 3_600_000
 // The monotonic clock stops while a VM is suspended. A call whose wall-clock time exceeds its deadline by this, in ms, is not dispatched:
 // its key's record may have expired meanwhile and another call with the key may have run.
 const SUSPENSION_MS = 60_000
@@ -58,7 +60,8 @@
     const { customer, key, token, opKey, requestHash, signal } = call
     const id: KeyId = { customer, key }
     const claim: Omit<KeyClaim, 'timeoutMs'> = { customer, key, token, opKey, requestHash, executorVm: vmId, claimId: newClaimId() }
-    const remainingMs = () => call.deadlineMs - clock.nowMs()
+    const deadlineMs = Math.min(call.deadlineMs, clock.nowMs() + DEADLINE_LIMIT_MS)
+    const remainingMs = () => deadlineMs - clock.nowMs()
     const latestWallMs = clock.wallMs() + Math.max(0, remainingMs()) + SUSPENSION_MS
     const isOver = () => signal?.aborted === true || remainingMs() <= 0 || clock.wallMs() > latestWallMs
     const registerBackoff = createBackoff(25, 500)
