--- a/packages/lab/src/scenarios/segment.ts
+++ b/packages/lab/src/scenarios/segment.ts
@@ -5,6 +5,7 @@
 import { countersSince, readCounters, type FleetCounters } from './counters.js'
 import { startEvents, type EventNote } from './events.js'
 import { loadOperationsOf } from './fleet-spec.js'
+import { watchGates, type GateSample } from './gates.js'
 import { watchMachine, type MachineLoad } from './machine-load.js'
 import type { Scenario, ScenarioEvent } from './schema.js'
 
@@ -27,6 +28,8 @@
   resends: number
   events: EventNote[]
   machine: MachineLoad
+  /** State of the gates in front of the targets, for finding causes. */
+  gates: GateSample[]
 }
 
 export const BUCKET_MS = 250
@@ -44,6 +47,7 @@
   })
   const before = await readCounters(fleet)
   const machine = watchMachine()
+  let endGates: (() => GateSample[]) | undefined
   let endEvents: (() => Promise<EventNote[]>) | undefined
   const results = await runLoad({
     arrivals,
@@ -52,7 +56,10 @@
     entries: fleet.vms.map((vm) => vm.url),
     behaviour: scenario.clients,
     runId: `${segment.id} ${segment.seed}`,
-    onStart: () => { endEvents = startEvents(fleet, segment.events, scenario.coldStartMs) }
+    onStart: () => {
+      endEvents = startEvents(fleet, segment.events, scenario.coldStartMs)
+      endGates = watchGates(fleet)
+    }
   })
   const events = await endEvents?.() ?? []
   return {
@@ -61,7 +68,8 @@
     counters: countersSince(before, await readCounters(fleet)),
     resends: results.reduce((sum, result) => sum + result.tries - 1, 0),
     events,
-    machine: machine()
+    machine: machine(),
+    gates: endGates?.() ?? []
   }
 }
 
