Pass all calls through when overload control is off

Cause: with overloadControl = false only the admission at the entry was off; limit, queue, deadline checks, quotas and ledger retries stayed.

Change: such a node uses an open gate and open quotas and makes no retries; the targets' own retries at each hop are the comparison.

--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -1,9 +1,10 @@
 import {
   LEVEL_INTERVAL_MS, systemClock, systemRandom,
-  type AskQuota, type Clock, type EntryAdmission, type PeerAddress, type QuotaAsk, type Random, type Settings
+  type AskQuota, type Clock, type PeerAddress, type QuotaAsk, type Random, type Settings
 } from '@orioleslip/core'
 import type { Logger } from 'pino'
 import { createEntryAdmission } from './admission/entry-admission.js'
+import { createOpenGate, openAdmission, openQuotas } from './admission/pass-through.js'
 import { createTargetGate } from './admission/target-gate.js'
 import { createCallHandler } from './calls/call-handler.js'
 import { createDecisionRecords } from './calls/decision-records.js'
@@ -70,13 +71,15 @@
   const inbound = createInboundCalls(clock.nowMs)
   const stats = createNodeStats(metrics)
   const records = createDecisionRecords(cfg.decisionRecords)
-  const gate = createTargetGate({ clock })
+  const gate = cfg.overloadControl ? createTargetGate({ clock }) : createOpenGate()
   const target = createLocalTarget(vm.address)
   target.onStarted(gate.targetStarted)
   const watch = createTargetWatch({ clock, log, publish: (record) => members.announceTarget(record) })
 
   const ledger = createRetryLedger({ clock, retryAllowance: cfg.retryAllowance })
-  const quotas = createQuotas({ members, askQuota: (vmId, ask, timeoutMs) => askQuota(vmId, ask, timeoutMs), clock, vmId: vm.id })
+  const quotas = cfg.overloadControl
+    ? createQuotas({ members, askQuota: (vmId, ask, timeoutMs) => askQuota(vmId, ask, timeoutMs), clock, vmId: vm.id })
+    : openQuotas
   const answerAsk = (kind: string, body: unknown): unknown => {
     switch (kind) {
       case 'retry': return ledger.take(String(body))
@@ -101,23 +104,25 @@
     handlers: { onCall: executor.execute, onAsk: answerAsk },
     onRejected: (remote, message) => log.warn({ remote }, `peer connection rejected: ${message}`)
   })
+  const askRetry = createAskRetry({
+    clock,
+    self: peerAddress,
+    ledger,
+    send: async (address, requestId, timeoutMs) => await pool.ask(address, 'retry', requestId, timeoutMs) as boolean | undefined
+  })
   const forwarder = createForwarder({
     self: members.self,
     router: createRouter({ members, clock, random }),
     pool,
-    askRetry: createAskRetry({
-      clock,
-      self: peerAddress,
-      ledger,
-      send: async (address, requestId, timeoutMs) => await pool.ask(address, 'retry', requestId, timeoutMs) as boolean | undefined
-    }),
+    // Without overload control the targets' own client libraries retry at each hop, unbounded by the ledger.
+    askRetry: cfg.overloadControl ? askRetry : async () => false,
     regionBudget: createInterRegionBudget({ clock, share: () => 1 / Math.max(1, members.knownCount()) }),
     latencies: createLatencies(clock),
     clock,
     onRetry: stats.retried,
     runLocally: executor.execute
   })
-  const admission = cfg.overloadControl ? createEntryAdmission({ clock, random }) : OPEN_ADMISSION
+  const admission = cfg.overloadControl ? createEntryAdmission({ clock, random }) : openAdmission
   const handler = createCallHandler({
     self: members.self,
     lists: () => poller.confirmed ? poller.current() : undefined,
@@ -188,9 +193,6 @@
   return { drain, stop }
 }
 
-/** Admits everything; used when overload control is switched off for a comparison. */
-const OPEN_ADMISSION: EntryAdmission = { judge: () => undefined, learn: () => {}, level: () => 0 }
-
 function reportGauges (metrics: MetricsSink | undefined, load: { level: number, inFlight: number, queued: number, limit: number }): void {
   if (metrics === undefined) return
   metrics.gauge('admission_level', load.level)
