--- a/packages/lab/src/target/stand-in-target.ts
+++ b/packages/lab/src/target/stand-in-target.ts
@@ -1,5 +1,6 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
 import { createHash, randomUUID } from 'node:crypto'
+import { appendFileSync } from 'node:fs'
 import { HEADERS, WELL_KNOWN_PREFIX } from '@orioleslip/core'
 import { Agent, request, type Dispatcher } from 'undici'
 import { z } from 'zod'
@@ -38,7 +39,11 @@
   /** Times that it repeats a failed downstream call, as client libraries do; 0 leaves this to the node. */
   downstreamRetries: z.number().int().min(0).default(0),
   /** Wait before such a repetition, in ms. */
-  downstreamRetryDelayMs: z.number().min(0).default(0)
+  downstreamRetryDelayMs: z.number().min(0).default(0),
+  /** Pause in the middle of each answer's body, in ms; the answer is chunked then. */
+  answerPauseMs: z.number().min(0).default(0),
+  /** File to which each run's idempotency key is appended; unlike the counters it outlives the process. */
+  runLog: z.string().optional()
 })
 export type TargetSpec = z.input<typeof targetSpecSchema>
 
@@ -150,7 +155,10 @@
       }
       counts.started++
       const key = req.headers[HEADERS.idempotencyKey]
-      if (typeof key === 'string') counts.runsByKey[key] = (counts.runsByKey[key] ?? 0) + 1
+      if (typeof key === 'string') {
+        counts.runsByKey[key] = (counts.runsByKey[key] ?? 0) + 1
+        if (spec.runLog !== undefined) appendFileSync(spec.runLog, `${key}\n`)
+      }
       await sleep(spec.workMs * behaviour.workFactor, gone.signal)
       const segment = `/${(req.url ?? '').split(/[/?]/)[1] ?? ''}`
       const downstream = await runStages(req, spec.downstream[`${req.method} ${segment}`] ?? [], gone.signal)
@@ -158,7 +166,9 @@
       if (behaviour.failing) return answer(res, 500, { error: 'failing as configured' })
       counts.finished++
       const requestId = req.headers[HEADERS.requestId]
-      answer(res, 200, { service: spec.service, requestId, path: req.url, bodySha256, bodyBytes, downstream, filler })
+      const body = { service: spec.service, requestId, path: req.url, bodySha256, bodyBytes, downstream, filler }
+      if (spec.answerPauseMs === 0) answer(res, 200, body)
+      else await answerInHalves(res, body, spec.answerPauseMs, gone.signal)
     } catch (err) {
       if (gone.signal.aborted) counts.cancelled++
       counts.wastedMs += performance.now() - startedMs
@@ -233,6 +243,15 @@
   res.end(bytes)
 }
 
+async function answerInHalves (res: ServerResponse, body: unknown, pauseMs: number, signal: AbortSignal): Promise<void> {
+  const text = JSON.stringify(body)
+  const middle = Math.floor(text.length / 2)
+  res.writeHead(200, { 'content-type': 'application/json' })
+  res.write(text.slice(0, middle))
+  await sleep(pauseMs, signal)
+  res.end(text.slice(middle))
+}
+
 async function readBody (req: IncomingMessage): Promise<{ text: string, sha256: string, bytes: number }> {
   const hash = createHash('sha256')
   let text = ''
