Correct the reason given for the bound of the register's time

Cause: says that without the bound the new test gets `granted` for a key that has run. Change: the comments name the true reason: records would expire and all later tokens stay too old until the true time catches up. Conclusion: the bound prevents a lasting refusal of calls and limits the loss of retention; tokens too old already prevented second runs.

--- a/packages/control/src/keys/key-machine.test.ts
+++ b/packages/control/src/keys/key-machine.test.ts
@@ -138,7 +138,7 @@
   t.deepEqual(claim(2), { type: 'claim', result: { kind: 'finished', run: finishedRun } })
 })
 
-// Guards against the loss of all records, and thereby second runs, when a leader has a wrong clock.
+// Guards against a leader with a wrong clock that expires all records and leaves every later token too old.
 test('a leader whose clock is ten days ahead expires no record of the last hours', (t) => {
   const { claim, time, token } = setup()
   claim(1)
--- a/packages/control/src/keys/key-machine.ts
+++ b/packages/control/src/keys/key-machine.ts
@@ -140,8 +140,8 @@
   }
 
   function apply (_index: number, cmd: KeyCommand): KeyReply {
-    // A leader whose clock is far ahead must not expire all records: the time never passes the end of the newest token's lifetime,
-    // so its commands refuse tokens instead.
+    // A leader whose clock is far ahead must not move the time for good: it would expire all records, and refuse every token until the
+    // true time catches up. So the time never passes the end of the newest token's lifetime.
     const createdMs = uuid7TimeMs(cmd.token) ?? 0
     nowMs = Math.max(nowMs, Math.min(cmd.wallMs, createdMs + TOKEN_LIFETIME_MS))
     expire(cmd.retentionMs)
