Wait for the record of a finished run for one second at most

Cause: the executor holds an answer back until `finished` resolves; while the register is away that took up to an hour, so callers got `unknown` at their deadline for an answer that was complete. Change: OnceRun.finished resolves after one second at the latest; the record goes on in the background. The test of repeated finishes waits for the background work instead; a new test guards the limit. Conclusion: the call path needs no change.

--- a/packages/node/src/idempotency/once-guard.test.ts
+++ b/packages/node/src/idempotency/once-guard.test.ts
@@ -148,10 +148,21 @@
   const beginning = await pass(guard.begin(call()))
   if (beginning.kind !== 'dispatch') return t.fail()
   await pass(Promise.all([beginning.run.finished(run), beginning.run.notSent(), beginning.run.finished(run)]))
+  await pass(guard.idle())
   t.deepEqual(asked, ['claim', 'finish', 'finish', 'finish'])
   t.deepEqual(runs, [run, run, run])
 })
 
+// Guards against a complete answer that is held back for as long as the register is away.
+test('a finish is awaited for one second', async (t) => {
+  const { guard, call, pass, clock } = setup({ claim: [granted], finish: [silent()] })
+  const beginning = await pass(guard.begin(call()))
+  if (beginning.kind !== 'dispatch') return t.fail()
+  const startMs = clock.nowMs()
+  await pass(beginning.run.finished(run))
+  t.deepEqual([clock.nowMs() - startMs <= 1025, guard.pendingRecords()], [true, 1])
+})
+
 // Guards against background work that never ends when the register stays away.
 test('records are given up after an hour, and at a stop', async (t) => {
   const { guard, call, pass, asked } = setup({ claim: [granted], release: [down('not-applied')] })
--- a/packages/node/src/idempotency/once-guard.ts
+++ b/packages/node/src/idempotency/once-guard.ts
@@ -21,12 +21,15 @@
 
 /**
  * Permission to dispatch once. Exactly one of the functions is called after it; neither when the target's outcome is unknown, which
- * leaves the key `dispatched`. Their promises resolve when the register has the record or the node gives up; nobody needs to wait.
+ * leaves the key `dispatched`. The records go on in the background until the register has them; nobody needs to wait.
  */
 export type OnceRun = {
-  /** Records a complete response. */
+  /** Records a complete response. Resolves when it is recorded, at the latest after one second, so that a caller can be answered then. */
   finished: (run: FinishedRun) => Promise<void>
-  /** Undoes the claim; allowed only when no byte of the request was written to the target and none will be. */
+  /**
+   * Undoes the claim; allowed only when no byte of the request was written to the target and none will be.
+   * Resolves when it is undone or given up.
+   */
   notSent: () => Promise<void>
 }
 
@@ -46,6 +49,8 @@
 
 const RETRY_AFTER_REGISTER_S = 2
 const RETRY_AFTER_FULL_S = 60
+// Longest wait for the record of a finished run, in ms. A complete answer must reach its caller while the register is away.
+const FINISH_WAIT_MS = 1000
 // Longest deadline of a claim, in ms; half the time for which the register accepts a token.
 const DEADLINE_LIMIT_MS = 3_600_000
 // The monotonic clock stops while a VM is suspended. A call whose wall-clock time exceeds its deadline by this, in ms, is not dispatched:
@@ -131,7 +136,10 @@
       return background.start(what, id, command)
     }
     return {
-      finished: (run) => once('finish', () => register.finish(id, token, run)),
+      finished: async (run) => {
+        const recorded = once('finish', () => register.finish(id, token, run))
+        await within(clock, FINISH_WAIT_MS, recorded.then(() => ({})))
+      },
       notSent: () => once('release', () => register.release(id, token))
     }
   }
