Keep answers of duplicated forwards consistent

Cause: a copy of a forwarded proposal that arrived after the leader stepped down was answered with notLeader while another copy had been appended. Change: request ids outlive the leadership, and a process that started after the term answers outcomeUnknown. Conclusion: notLeader and refused again mean that the command does not take effect.

--- a/packages/control/src/replication/cluster.test.ts
+++ b/packages/control/src/replication/cluster.test.ts
@@ -151,3 +151,29 @@
   await cluster.converge()
   t.deepEqual(cluster.violations, [])
 })
+
+// Guards against a caller that is told "not appended" by one copy of its message while another copy was appended.
+test('copies of a forwarded proposal have one effect and no contradicting answers', async (t) => {
+  const cluster = createCluster(3, 9)
+  const leader = await cluster.boot()
+  await cluster.propose(leader.vmId, 'a')
+  const { storageId } = cluster.vms.find((vm) => vm !== leader)!.log!.status()
+  const { term } = leader.log!.status()
+  const forward = async (requestId: string, cmd: string) => {
+    const body = { kind: 'forward' as const, requestId, term, cmd }
+    const reply = await cluster.during(leader.log!.handle({ group: 'lists', from: { vmId: 'x', storageId }, body }))
+    return reply.kind === 'forward' ? reply.status : reply.kind
+  }
+  t.deepEqual(await Promise.all([forward('1', 'b'), forward('1', 'b')]), ['ok', 'ok'])
+  t.is(await forward('1', 'b'), 'outcomeUnknown')
+  cluster.network.isolate(leader.vmId)
+  await cluster.advance(3000)
+  t.is(await forward('1', 'b'), 'outcomeUnknown')
+  t.is(await forward('2', 'c'), 'notLeader')
+  cluster.network.heal()
+  cluster.kill(leader.vmId)
+  await cluster.start(leader.vmId)
+  t.is(await forward('3', 'd'), 'outcomeUnknown', 'the process before the restart may have taken it')
+  await cluster.converge()
+  t.deepEqual(leader.machine.applied, ['a', 'b'])
+})
--- a/packages/control/src/replication/handler.ts
+++ b/packages/control/src/replication/handler.ts
@@ -45,7 +45,8 @@
 
 function refusalOf (replica: Replica, { group, groupId, to, body }: ReplicationMessage): ReplicationReply | undefined {
   const own = replica.config?.groupId
-  if (replica.closed) return refusedReply(replica, 'closed', 'the control process is stopping')
+  // A forwarded proposal may be a copy of one that was taken before.
+  if (replica.closed && body.kind !== 'forward') return refusedReply(replica, 'closed', 'the control process is stopping')
   if (group !== replica.group) return refusedReply(replica, 'group', `this is log group "${replica.group}", not "${group}"`)
   // Identification must also work between groups, so that init can refuse to create a second one.
   if (body.kind !== 'identify' && groupId !== undefined && own !== undefined && groupId !== own) {
--- a/packages/control/src/replication/leader.ts
+++ b/packages/control/src/replication/leader.ts
@@ -21,7 +21,6 @@
     proposals: [],
     waiting: new Map(),
     joins: new Map(),
-    forwards: new Map(),
     queued: createNotifier(clock),
     written: createNotifier(clock),
     ended: false
--- a/packages/control/src/replication/proposals.ts
+++ b/packages/control/src/replication/proposals.ts
@@ -8,7 +8,7 @@
 import { failureOf, request, type Proposal, type Replica } from './replica.js'
 import { leaseMs } from './roles.js'
 
-// More than a leader answers while a copy of a message is under way.
+// More than a leader receives while a copy of a message is under way.
 const REMEMBERED_FORWARDS = 20_000
 
 type Proposed = Result<unknown, ProposeError>
@@ -82,18 +82,20 @@
 
 /** Handles a proposal forwarded by another replica; it is never forwarded again. */
 export async function handleForward (replica: Replica, { requestId, term, cmd }: ForwardRequest): Promise<ForwardReply> {
-  const { leadership } = replica
-  if (leadership?.term !== term) return { kind: 'forward', status: 'notLeader', message: `this replica does not lead in term ${term}` }
-  if (leadership.forwards.has(requestId)) {
-    const first = leadership.forwards.get(requestId)
-    return await (first ?? { kind: 'forward', status: 'outcomeUnknown', message: 'the request was answered before; resend with the same id' })
+  const { leadership, forwards } = replica
+  const unknown: ForwardReply = { kind: 'forward', status: 'outcomeUnknown', message: 'a copy of the request came before; resend with the same id' }
+  if (forwards.has(requestId)) return await (forwards.get(requestId) ?? unknown)
+  if (leadership?.term !== term) {
+    // The process that led in the term may have taken another copy of the request.
+    if (term <= replica.startTerm) return unknown
+    return { kind: 'forward', status: 'notLeader', message: `this replica does not lead in term ${term}` }
   }
   const reply = proposeForwarded(replica, cmd)
-  leadership.forwards.set(requestId, reply)
-  const oldest = leadership.forwards.keys().next().value
-  if (leadership.forwards.size > REMEMBERED_FORWARDS && oldest !== undefined) leadership.forwards.delete(oldest)
+  forwards.set(requestId, reply)
+  const oldest = forwards.keys().next().value
+  if (forwards.size > REMEMBERED_FORWARDS && oldest !== undefined) forwards.delete(oldest)
   const answer = await reply
-  leadership.forwards.set(requestId, undefined)
+  forwards.set(requestId, undefined)
   return answer
 }
 
--- a/packages/control/src/replication/replica.ts
+++ b/packages/control/src/replication/replica.ts
@@ -43,8 +43,6 @@
   /** Written entries whose callers wait, by index. */
   waiting: Map<number, Proposal>
   joins: Map<string, string>
-  /** Forwarded proposals by request id, so that a message that arrives twice has one effect; undefined once answered. */
-  forwards: Map<string, Promise<ForwardReply> | undefined>
   /** Wakes the writer: proposals were added. */
   queued: Notifier
   /** Wakes the replicators: entries were written. */
@@ -69,6 +67,10 @@
   /** The commit index, the role or the known leader changed. */
   readonly changed: Notifier
   readonly listeners: Set<(index: number) => void>
+  /** Forwarded proposals by request id, so that a message that arrives twice has one effect; undefined once answered. */
+  readonly forwards: Map<string, Promise<ForwardReply> | undefined>
+  /** Term at the start of this process; later terms in which this VM led were led by this process. */
+  readonly startTerm: number
   role: 'follower' | 'candidate' | 'leader'
   term: number
   vote: string | null
--- a/packages/control/src/replication/replicated-log.ts
+++ b/packages/control/src/replication/replicated-log.ts
@@ -111,6 +111,8 @@
     lock: createLock(),
     changed: createNotifier(clock),
     listeners: new Set(),
+    forwards: new Map(),
+    startTerm: term,
     role: 'follower',
     term,
     vote,
