--- a/packages/control/src/storage/record.ts
+++ b/packages/control/src/storage/record.ts
@@ -13,6 +13,19 @@
 /** CRC-32 as an unsigned number. */
 export const checksum = (data: Uint8Array): number => crc32.buf(data) >>> 0
 
+// About 20 ms of work: heartbeats are due every 150 ms.
+const SLICE_BYTES = 4 * 1024 * 1024
+
+/** The same as `checksum` for large data; lets other tasks run in between. */
+export async function checksumLarge (data: Uint8Array): Promise<number> {
+  let crc = 0
+  for (let start = 0; start < data.length; start += SLICE_BYTES) {
+    if (start > 0) await new Promise((resolve) => { setImmediate(resolve) })
+    crc = crc32.buf(data.subarray(start, start + SLICE_BYTES), crc)
+  }
+  return crc >>> 0
+}
+
 // Layout: marker (2 bytes), length of the payload (4), CRC of length and payload (4), payload.
 const MARKER = 0xa55a
 const HEAD_BYTES = 10
--- a/packages/control/src/storage/snapshot-file.ts
+++ b/packages/control/src/storage/snapshot-file.ts
@@ -1,26 +1,32 @@
 import { err, ok, type Result } from 'neverthrow'
 import type { Snapshot } from './entry.js'
 import { damaged, type StorageError } from './errors.js'
-import { checksum, pack, unpack } from './record.js'
+import { checksumLarge, pack, unpack } from './record.js'
 
 const MAGIC = Buffer.from('OLSNAP1\n')
 const HEAD_BYTES = MAGIC.length + 4
 
-/** Encodes a snapshot with its checksum, as stored in the file and sent to peers. */
-export function encodeSnapshot (snapshot: Snapshot): Buffer {
+/** Encodes a snapshot with its checksum, as stored in the file and sent to peers. The state is read before the function returns. */
+export async function encodeSnapshot (snapshot: Snapshot): Promise<Buffer> {
   const payload = pack(snapshot)
   const head = Buffer.alloc(HEAD_BYTES)
   MAGIC.copy(head)
-  head.writeUInt32BE(checksum(payload), MAGIC.length)
+  head.writeUInt32BE(await checksumLarge(payload), MAGIC.length)
   return Buffer.concat([head, payload])
 }
 
-/** Decodes and verifies a snapshot. */
-export function decodeSnapshot (file: string, data: Buffer): Result<Snapshot, StorageError> {
+/** Verifies an encoded snapshot and returns its payload. */
+export async function verifySnapshot (file: string, data: Buffer): Promise<Result<Buffer, StorageError>> {
   if (data.length <= HEAD_BYTES || !data.subarray(0, MAGIC.length).equals(MAGIC)) return err(damaged(file, 0, 'not a snapshot'))
   const payload = data.subarray(HEAD_BYTES)
-  if (checksum(payload) !== data.readUInt32BE(MAGIC.length)) return err(damaged(file, HEAD_BYTES, 'the snapshot has a wrong checksum'))
-  return ok(unpack(payload) as Snapshot)
+  if (await checksumLarge(payload) !== data.readUInt32BE(MAGIC.length)) return err(damaged(file, HEAD_BYTES, 'the snapshot has a wrong checksum'))
+  return ok(payload)
+}
+
+/** Verifies and decodes a snapshot. */
+export async function decodeSnapshot (file: string, data: Buffer): Promise<Result<Snapshot, StorageError>> {
+  const payload = await verifySnapshot(file, data)
+  return payload.map((content) => unpack(content) as Snapshot)
 }
 
 /** File name of the snapshot at a log index. */
--- a/packages/control/src/storage/store.ts
+++ b/packages/control/src/storage/store.ts
@@ -7,7 +7,7 @@
 import type { FileSystem } from './file-system.js'
 import { decodeHardState, encodeHardState, type HardState } from './hard-state.js'
 import { openSegmentLog, type SegmentLog } from './segment-log.js'
-import { decodeSnapshot, encodeSnapshot, snapshotName } from './snapshot-file.js'
+import { decodeSnapshot, encodeSnapshot, snapshotName, verifySnapshot } from './snapshot-file.js'
 
 type Outcome = Promise<Result<void, StorageError>>
 
@@ -58,7 +58,7 @@
   if (latest !== undefined) {
     const path = join(dir, latest)
     const data = await attempt(path, () => fs.read(path))
-    const decoded = data.isErr() ? err(data.error) : decodeSnapshot(path, data.value)
+    const decoded = data.isErr() ? err(data.error) : await decodeSnapshot(path, data.value)
     if (decoded.isErr()) return err(decoded.error)
     initial = decoded.value
   }
@@ -140,12 +140,12 @@
       const path = join(dir, snapshotName(head?.lastIndex ?? 0))
       const data = await attempt(path, () => fs.read(path))
       if (data.isErr()) return err(data.error)
-      return decodeSnapshot(path, data.value).map(() => data.value)
+      return (await verifySnapshot(path, data.value)).map(() => data.value)
     },
     saveSnapshot: async (snapshot) => {
       const before = failure()
       if (before !== undefined) return err(before)
-      const written = await writeSnapshot(snapshot.lastIndex, encodeSnapshot(snapshot))
+      const written = await writeSnapshot(snapshot.lastIndex, await encodeSnapshot(snapshot))
       // A snapshot from the leader may have been installed during the write.
       if (written.isOk() && snapshot.lastIndex > (head?.lastIndex ?? 0)) head = headOf(snapshot)
       return written
@@ -153,7 +153,7 @@
     installSnapshot: async (data) => {
       const before = failure()
       if (before !== undefined) return err(before)
-      const decoded = decodeSnapshot('snapshot from the leader', data)
+      const decoded = await decodeSnapshot('snapshot from the leader', data)
       if (decoded.isErr()) return err(decoded.error)
       const snapshot = decoded.value
       const written = await writeSnapshot(snapshot.lastIndex, data)
