Detect a missing log and move damaged files aside identity first

Cause: a crash while damaged files were moved aside could leave the old storage id with an empty log, which could vote. Change: the hard state is moved first and records that entries were written; a folder without its log is damaged; tests for this, for votes for outdated logs and for appends behind a mismatch. Measurement: 30 tests pass. Conclusion: a lost log no longer passes for the replica that acknowledged its entries.

--- a/packages/control/src/replication/election.test.ts
+++ b/packages/control/src/replication/election.test.ts
@@ -8,12 +8,12 @@
   const [voter, candidate] = cluster.vms.filter((vm) => vm !== leader)
   await cluster.converge()
   const { term, lastIndex } = leader.log!.status()
-  const ask = async (from: string, ahead: number, pre = false) => {
+  const ask = async (from: string, ahead: number, pre = false, behind = 0) => {
     const reply = await cluster.during(voter!.log!.handle({
       group: 'lists',
       from: { vmId: from, storageId: cluster.vm(from).log!.status().storageId },
       to: voter!.log!.status().storageId,
-      body: { kind: 'vote', pre, term: term + ahead, lastIndex, lastTerm: term }
+      body: { kind: 'vote', pre, term: term + ahead, lastIndex: lastIndex - behind, lastTerm: term }
     }))
     return reply.kind === 'vote' && reply.granted
   }
@@ -40,6 +40,7 @@
   const { cluster, leader, voter, candidate, ask } = await createVoters(42)
   cluster.network.isolate(voter.vmId)
   await cluster.advance(700)
+  t.false(await ask(candidate.vmId, 4, false, 1), 'a candidate whose log is behind')
   t.true(await ask(candidate.vmId, 5))
   cluster.kill(voter.vmId)
   await cluster.start(voter.vmId)
@@ -47,3 +48,24 @@
   t.false(await ask(leader.vmId, 5))
   t.true(await ask(candidate.vmId, 5))
 })
+
+// Guards against acknowledging entries behind a gap or behind an entry that the leader doesn't have.
+test('an append is refused unless the entry before it agrees', async (t) => {
+  const { cluster, leader, voter } = await createVoters(43)
+  const { storageId, term, lastIndex } = leader.log!.status()
+  const append = async (prevIndex: number, prevTerm: number) => {
+    const body = { kind: 'append' as const, term, prevIndex, prevTerm, entries: [], commitIndex: 0 }
+    const reply = await cluster.during(voter.log!.handle({ group: 'lists', from: { vmId: leader.vmId, storageId }, body }))
+    return reply.kind === 'append' && reply.ok
+  }
+  t.true(await append(lastIndex, term))
+  t.false(await append(lastIndex + 1, term))
+  cluster.network.isolate(leader.vmId)
+  await cluster.during(leader.log!.propose('uncommitted'))
+  const last = leader.log!.status().lastIndex
+  const { log } = leader
+  const from = { vmId: voter.vmId, storageId: voter.log!.status().storageId }
+  const body = { kind: 'append' as const, term: term + 9, prevIndex: last, prevTerm: term + 8, entries: [], commitIndex: last }
+  t.like(await cluster.during(log!.handle({ group: 'lists', from, body })), { kind: 'append', ok: false })
+  t.is(log!.status().commitIndex, last - 1)
+})
--- a/packages/control/src/replication/replica.ts
+++ b/packages/control/src/replication/replica.ts
@@ -141,7 +141,7 @@
   const saved = replica.store.hardState()
   const { term, vote } = replica
   if (saved.term === term && saved.vote === vote) return true
-  const written = await replica.store.saveHardState({ storageId: replica.self.storageId, term, vote })
+  const written = await replica.store.saveHardState({ term, vote })
   if (written.isErr()) noteStorageError(replica, written.error)
   return written.isOk()
 }
--- a/packages/control/src/storage/file-system.ts
+++ b/packages/control/src/storage/file-system.ts
@@ -62,6 +62,9 @@
   }
 }
 
+/** The file with the storage id of a replica. */
+export const IDENTITY_FILE = 'hard-state.json'
+
 /** Moves every file of a folder into a new subfolder and returns its name, so that damaged files stay available for inspection. */
 export async function moveAside (fs: FileSystem, dir: string): Promise<string> {
   const names = await fs.list(dir)
@@ -69,8 +72,14 @@
   while (names.includes(`damaged-${number}`)) number++
   const target = join(dir, `damaged-${number}`)
   await fs.makeDir(target)
-  for (const name of names.filter((other) => !other.startsWith('damaged-'))) await fs.rename(join(dir, name), join(target, name))
-  await fs.syncDir(target)
-  await fs.syncDir(dir)
+  const moved = names.filter((name) => !name.startsWith('damaged-'))
+  const move = async (name: string) => {
+    await fs.rename(join(dir, name), join(target, name))
+    await fs.syncDir(target)
+    await fs.syncDir(dir)
+  }
+  // The identity goes first: after a crash in between, an emptied log must not pass for the replica that it was.
+  for (const name of moved.filter((other) => other === IDENTITY_FILE)) await move(name)
+  for (const name of moved.filter((other) => other !== IDENTITY_FILE)) await move(name)
   return target
 }
--- a/packages/control/src/storage/hard-state.ts
+++ b/packages/control/src/storage/hard-state.ts
@@ -9,11 +9,19 @@
   term: number
   /** Storage id of the candidate that got this replica's vote in `term`. */
   vote: string | null
+  /** Entries were written once, so an empty folder is damage. */
+  hasLog: boolean
 }
 
-const schema = z.object({ storageId: z.string(), term: z.number().int().min(0), vote: z.string().nullable(), checksum: z.number() })
+const schema = z.object({
+  storageId: z.string(),
+  term: z.number().int().min(0),
+  vote: z.string().nullable(),
+  hasLog: z.boolean(),
+  checksum: z.number()
+})
 
-const sumOf = (state: HardState) => checksum(Buffer.from(JSON.stringify([state.storageId, state.term, state.vote])))
+const sumOf = (state: HardState) => checksum(Buffer.from(JSON.stringify([state.storageId, state.term, state.vote, state.hasLog])))
 
 /** Encodes the hard state as JSON with a checksum. */
 export function encodeHardState (state: HardState): Buffer {
--- a/packages/control/src/storage/store.test.ts
+++ b/packages/control/src/storage/store.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava'
 import { createSeededRandom } from '@orioleslip/core'
 import type { LogEntry } from './entry.js'
+import { moveAside } from './file-system.js'
 import { createFakeDisk, type DiskOperation, type FakeDisk } from './testing/fake-disk.js'
 import { openStore } from './store.js'
 
@@ -23,7 +24,7 @@
 // Guards against acknowledged entries that were not synced.
 test('appended entries, hard state and snapshot survive a crash', async (t) => {
   const { disk, store } = await createFilledDisk()
-  await store.saveHardState({ storageId: 'disk1', term: 7, vote: 'disk2' })
+  await store.saveHardState({ term: 7, vote: 'disk2' })
   await store.log.truncateFrom(19)
   await store.log.append([entry(19, 7)])
   await store.saveSnapshot({ lastIndex: 12, lastTerm: 1, config, state: ['a'] })
@@ -31,7 +32,7 @@
   disk.crash()
   const again = await openOk(disk)
   t.deepEqual(contentOf(again).slice(-10), [...range(10, 18), entry(19, 7)])
-  t.deepEqual(again.hardState(), { storageId: 'disk1', term: 7, vote: 'disk2' })
+  t.deepEqual(again.hardState(), { storageId: 'disk1', term: 7, vote: 'disk2', hasLog: true })
   t.deepEqual(again.snapshot(), { lastIndex: 12, lastTerm: 1, config })
   t.deepEqual(again.takeInitialState(), ['a'])
 })
@@ -124,7 +125,7 @@
   const { disk, store } = await createFilledDisk()
   disk.fault = failing('write', 'ENOSPC')
   t.like((await store.log.append([entry(21)]))._unsafeUnwrapErr(), { kind: 'full' })
-  t.like((await store.saveHardState({ storageId: 'disk1', term: 9, vote: null }))._unsafeUnwrapErr(), { kind: 'full' })
+  t.like((await store.saveHardState({ term: 9, vote: null }))._unsafeUnwrapErr(), { kind: 'full' })
   t.is(store.hardState().term, 0)
   t.true((await open(disk)).isOk(), 'a full disk does not prevent a restart')
   disk.fault = undefined
@@ -133,9 +134,28 @@
   t.like((await store.log.append([entry(22)]))._unsafeUnwrapErr(), { kind: 'syncFailed' })
   disk.fault = undefined
   t.like((await store.log.append([entry(22)]))._unsafeUnwrapErr(), { kind: 'syncFailed' })
-  t.like((await store.saveHardState({ storageId: 'disk1', term: 9, vote: null }))._unsafeUnwrapErr(), { kind: 'syncFailed' })
+  t.like((await store.saveHardState({ term: 9, vote: null }))._unsafeUnwrapErr(), { kind: 'syncFailed' })
   disk.crash()
   t.deepEqual(contentOf(await openOk(disk)), range(1, 21))
   disk.fault = failing('open', 'EROFS')
   t.like((await open(disk))._unsafeUnwrapErr(), { kind: 'readOnly' })
 })
+
+// Guards against an emptied log that passes for the replica that acknowledged its entries.
+test('a folder without its log is damaged, and moving damaged files aside is safe at every step', async (t) => {
+  for (let steps = 0; steps < 40; steps++) {
+    const { disk } = await createFilledDisk()
+    let left = steps
+    const gate = async () => { if (left-- <= 0) await new Promise<never>(() => {}) }
+    await Promise.race([moveAside(disk.mount(gate), '/data'), new Promise((resolve) => { setImmediate(resolve) })])
+    disk.crash()
+    const opened = await openStore({ fs: disk.mount(), dir: '/data', segmentBytes: 400, newStorageId: () => 'disk2' })
+    const isComplete = opened.isOk() && opened.value.log.lastIndex() === 20
+    const isBlank = opened.isOk() && opened.value.hardState().storageId === 'disk2' && opened.value.log.lastIndex() === 0
+    t.true(isComplete || isBlank || (opened.isErr() && opened.error.kind === 'damaged'), `after ${steps} steps`)
+  }
+  const { disk } = await createFilledDisk()
+  const fs = disk.mount()
+  for (const path of disk.paths().filter((name) => name.endsWith('.seg'))) await fs.remove(path)
+  t.is((await open(disk))._unsafeUnwrapErr().kind, 'damaged')
+})
--- a/packages/control/src/storage/store.ts
+++ b/packages/control/src/storage/store.ts
@@ -2,9 +2,9 @@
 import { join } from 'node:path'
 import { err, ok, type Result } from 'neverthrow'
 import { readIfPresent, replaceFile } from './durable-file.js'
-import type { Snapshot } from './entry.js'
+import type { LogEntry, Snapshot } from './entry.js'
 import { attempt, damaged, type StorageError } from './errors.js'
-import type { FileSystem } from './file-system.js'
+import { IDENTITY_FILE, type FileSystem } from './file-system.js'
 import { decodeHardState, encodeHardState, type HardState } from './hard-state.js'
 import { openSegmentLog, type SegmentLog } from './segment-log.js'
 import { decodeSnapshot, encodeSnapshot, snapshotName, verifySnapshot } from './snapshot-file.js'
@@ -15,7 +15,7 @@
 export type Store = {
   log: SegmentLog
   hardState: () => HardState
-  saveHardState: (state: HardState) => Outcome
+  saveHardState: (state: Pick<HardState, 'term' | 'vote'>) => Outcome
   /** The latest snapshot without its state. */
   snapshot: () => Omit<Snapshot, 'state'> | undefined
   /** The state found in the snapshot at the start; handed out once, to free its memory. */
@@ -45,12 +45,12 @@
     if (removed.isErr()) return err(removed.error)
   }
 
-  const hardStatePath = join(dir, 'hard-state.json')
+  const hardStatePath = join(dir, IDENTITY_FILE)
   const hardState = await openHardState(fs, hardStatePath, names.value, newStorageId)
   if (hardState.isErr()) return err(hardState.error)
   // Writing it again proves at the start that the folder is writable. A full disk still allows serving what was accepted.
   const writable = await replaceFile(fs, hardStatePath, encodeHardState(hardState.value))
-  const isNew = !names.value.includes('hard-state.json')
+  const isNew = !names.value.includes(IDENTITY_FILE)
   if (writable.isErr() && (isNew || writable.error.kind !== 'full')) return err(writable.error)
 
   const latest = names.value.filter((name) => name.endsWith('.snap')).sort().at(-1)
@@ -77,9 +77,13 @@
   fs: FileSystem, path: string, names: string[], newStorageId: () => string): Promise<Result<HardState, StorageError>> {
   const data = await readIfPresent(fs, path)
   if (data.isErr()) return err(data.error)
-  if (data.value !== undefined) return decodeHardState(path, data.value)
-  if (names.some((name) => name.endsWith('.seg') || name.endsWith('.snap'))) return err(damaged(path, 0, 'the hard state is missing'))
-  return ok({ storageId: newStorageId(), term: 0, vote: null })
+  const hasFiles = names.some((name) => name.endsWith('.seg') || name.endsWith('.snap'))
+  if (data.value !== undefined) {
+    return decodeHardState(path, data.value).andThen((state) =>
+      state.hasLog && !hasFiles ? err(damaged(path, 0, 'the files of the log are missing, which the hard state refers to')) : ok(state))
+  }
+  if (hasFiles) return err(damaged(path, 0, 'the hard state is missing'))
+  return ok({ storageId: newStorageId(), term: 0, vote: null, hasLog: false })
 }
 
 /** Completes an installation that a crash interrupted, and refuses a gap between snapshot and log. */
@@ -99,7 +103,7 @@
   let initialState = initial?.state
   let head = initial === undefined ? undefined : headOf(initial)
   let failed: StorageError | undefined
-  const hardStatePath = join(dir, 'hard-state.json')
+  const hardStatePath = join(dir, IDENTITY_FILE)
 
   const failure = () => failed ?? log.failure()
   const noted = <T>(res: Result<T, StorageError>) => {
@@ -120,16 +124,26 @@
     return ok()
   }
 
+  async function saveHardState (changed: Partial<HardState>): Outcome {
+    const before = failure()
+    if (before !== undefined) return err(before)
+    const state = { ...hardState, ...changed }
+    const saved = noted(await replaceFile(fs, hardStatePath, encodeHardState(state)))
+    if (saved.isOk()) hardState = state
+    return saved
+  }
+
+  /** The entries are written first: a mark without entries would look like damage. A mark that fails is written with the next entries. */
+  async function append (entries: LogEntry[]): Outcome {
+    const written = await log.append(entries)
+    if (written.isOk() && entries.length > 0 && !hardState.hasLog) await saveHardState({ hasLog: true })
+    return written
+  }
+
   return {
-    log,
+    log: { ...log, append },
     hardState: () => hardState,
-    saveHardState: async (state) => {
-      const before = failure()
-      if (before !== undefined) return err(before)
-      const saved = noted(await replaceFile(fs, hardStatePath, encodeHardState(state)))
-      if (saved.isOk()) hardState = state
-      return saved
-    },
+    saveHardState,
     snapshot: () => head,
     takeInitialState: () => {
       const state = initialState
