Join through known members while all seeds are down

Cause: any part of a table counted as the whole one, so a restarted process could be confirmed with a nearly empty table; and without a reachable seed it never joined. Change: only the last chunk of a whole table, or a comparison without differences, completes the join; a joining process also compares with members that reach it. Measurement: 18 tests in members.test.ts pass; the restarted process is confirmed with all 30 members known. Conclusion: a restart does not depend on the control VMs as long as other members run.

--- a/packages/node/src/members/channel.ts
+++ b/packages/node/src/members/channel.ts
@@ -27,8 +27,8 @@
   send: (to: Address, body: MessageBody, seq: number, first?: Update[]) => void
   /** Sends waiting updates to each address. */
   gossip: (targets: Address[]) => void
-  /** Sends updates in as many datagrams as needed, paced; no waiting updates are attached. */
-  sendTable: (to: Address, updates: Update[], signal: AbortSignal) => Promise<void>
+  /** Sends updates in as many datagrams as needed, paced; `whole` marks the last one as the end of a whole table. */
+  sendTable: (to: Address, updates: Update[], whole: boolean, signal: AbortSignal) => Promise<void>
   stats: ChannelStats
 }
 
@@ -80,11 +80,11 @@
       for (const to of targets) transmit(to, data)
       budget.spend(targets.length * (data.length + IP_UDP_BYTES))
     },
-    sendTable: async (to, updates, signal) => {
+    sendTable: async (to, updates, whole, signal) => {
       const groups = splitUpdates(updates, CHUNK_BYTES)
       for (const [i, group] of groups.entries()) {
         if (signal.aborted) return
-        const data = encode({ kind: 'table', last: i === groups.length - 1 }, 0, group)
+        const data = encode({ kind: 'table', last: whole && i === groups.length - 1 }, 0, group)
         transmit(to, data)
         budget.spend(data.length + IP_UDP_BYTES)
         if (i % CHUNKS_PER_BURST === CHUNKS_PER_BURST - 1) await clock.sleep(CHUNK_PAUSE_MS, signal)
--- a/packages/node/src/members/members.test.ts
+++ b/packages/node/src/members/members.test.ts
@@ -82,6 +82,21 @@
   })
 }
 
+// Guards against a process that never gets a table, or works with a part of it, while all control VMs are down.
+test('a process that restarts while its only seed is down joins through members that know it', async (t) => {
+  const { world, fleet, at } = await joinedFleet(30)
+  at(0).members.stop()
+  at(5).members.stop()
+  await world.advance(1000)
+  const restarted = world.add('node-5', { host: at(5).address.host })
+  let confirmedWith: number | undefined
+  restarted.members.onChange(() => { if (restarted.members.isConfirmed()) confirmedWith ??= restarted.members.knownCount() })
+  await world.advance(15_000)
+  t.is(confirmedWith, 30)
+  fleet[5] = restarted
+  t.true(allAlive(fleet.slice(1)))
+})
+
 // Guards against a VM whose clock was set back: its incarnation is lower than that of the process before it.
 test('a process that restarts with an older clock still becomes alive', async (t) => {
   const { world, fleet, at } = await joinedFleet(20)
--- a/packages/node/src/members/message.ts
+++ b/packages/node/src/members/message.ts
@@ -25,6 +25,7 @@
   | { kind: 'nack' }
   | { kind: 'gossip' }
   | { kind: 'tableAsk' }
+  /** `last` marks the end of a whole table; other parts answer a `digest` or `want`. */
   | { kind: 'table', last: boolean }
   /** One 32-bit hash per bucket of the table; `reply` marks the answer to another digest. */
   | { kind: 'digest', hashes: Uint8Array, reply: boolean }
--- a/packages/node/src/members/sync.ts
+++ b/packages/node/src/members/sync.ts
@@ -68,9 +68,15 @@
     sendDigest(to, false)
   }
 
+  const compareWithAny = () => {
+    for (const { record } of sample(view.reachable(), 1, random)) compareWith(gossipAddress(record))
+  }
+
   const join = async () => {
     while (!signal.aborted && !state.joined) {
       for (const seed of sample(seeds, 1, random)) channel.send(seed, { kind: 'tableAsk' }, 0, [own.update(true)])
+      // Members that know this process from before may find it while all seeds are down.
+      compareWithAny()
       await clock.sleep(PROBE_INTERVAL_MS, signal)
     }
   }
@@ -79,15 +85,16 @@
     const differing = differingBuckets(digest(), msg.hashes)
     if (!msg.reply) sendDigest(from, true)
     state.settled ||= msg.reply && differing.size === 0
+    state.joined ||= state.settled
     if (differing.size === 0) return
     const short = budget.level() < URGENT_RESERVE_BYTES
     const buckets = new Set(short ? sample([...differing], BUCKETS_WHEN_SHORT, random) : differing)
-    channel.sendTable(from, updates(false).filter(({ vmId }) => buckets.has(bucketOf(vmId))), signal)
+    channel.sendTable(from, updates(false).filter(({ vmId }) => buckets.has(bucketOf(vmId))), false, signal)
   }
 
   const answerWant = (msg: Message & { kind: 'want' }, from: Address) => {
     const wanted = msg.vmIds.flatMap((vmId) => (vmId === own.record().vmId ? own.update(true) : table.update(vmId, true)) ?? [])
-    channel.sendTable(from, wanted, signal)
+    channel.sendTable(from, wanted, false, signal)
   }
 
   return {
@@ -100,7 +107,7 @@
         unsettledMs = Math.min(SYNC_UNSETTLED_MS, unsettledMs * 2)
         // A random share of the period keeps members that started together apart.
         await clock.sleep(waitMs * (0.75 + random.next() / 2), signal)
-        for (const { record } of sample(view.reachable(), 1, random)) if (!signal.aborted) compareWith(gossipAddress(record))
+        if (!signal.aborted) compareWithAny()
       }
     },
     compareWith,
@@ -112,7 +119,7 @@
     handle: (msg, from) => {
       switch (msg.kind) {
         case 'tableAsk':
-          channel.sendTable(from, updates(true), signal)
+          channel.sendTable(from, updates(true), true, signal)
           return
         case 'table':
           state.joined ||= msg.last
