--- a/packages/node/src/members/socket.ts
+++ b/packages/node/src/members/socket.ts
@@ -12,8 +12,11 @@
   close: () => void
 }
 
+/** A bound UDP socket; with port 0 the operating system chooses the port. */
+export type UdpSocket = DatagramSocket & { address: () => Address }
+
 /** Binds a UDP socket; rejects when the address is in use. Send errors go to `onError` and are otherwise like a lost datagram. */
-export async function openUdpSocket (bind: Address, onError: (err: Error) => void): Promise<DatagramSocket> {
+export async function openUdpSocket (bind: Address, onError: (err: Error) => void): Promise<UdpSocket> {
   const options: SocketOptions = {
     type: isIPv6(bind.host) ? 'udp6' : 'udp4',
     // Addresses are numeric; the default lookup would cost a turn of the event loop per datagram.
@@ -28,8 +31,10 @@
     })
   })
   socket.on('error', onError)
+  const { address: host, port } = socket.address()
   let closed = false
   return {
+    address: () => ({ host, port }),
     send: (data, to) => {
       if (closed) return
       socket.send(data, to.port, to.host, (err) => { if (err !== null && !closed) onError(err) })
