--- a/packages/node/src/calls/executor.ts
+++ b/packages/node/src/calls/executor.ts
@@ -14,9 +14,6 @@
 import type { OnceGuard, OnceRun } from '../idempotency/once-guard.js'
 import { HASHED_BODY_LIMIT_BYTES, requestHashOf } from '../idempotency/request-hash.js'
 
-/** Longest time for which a finished answer is held back until the key register has it, in ms. */
-const RECORD_WAIT_MS = 500
-
 export type ExecutorOptions = {
   target: LocalTarget
   gate: TargetGate
@@ -97,7 +94,7 @@
       method: head.method, path: head.path, headers: targetHeaders(call, deadline, self), body, signal: deadline.signal
     })
     if (reply.kind === 'failed') return finishFailed({ call, deadline, self, permit, once, latencyMs, reply })
-    const end = await passAnswer({ clock, call, self, once, reply, report: () => reportOf(self) })
+    const end = await passAnswer({ call, self, once, reply, report: () => reportOf(self) })
     permit.release(endOf({ end, status: reply.status, latencyMs: latencyMs(), downstreamMs: self.downstreamMs() }, deadline))
   }
 
@@ -195,7 +192,6 @@
 type AnswerEnd = 'complete' | 'cut'
 
 type AnswerPassage = {
-  clock: Clock
   call: IncomingCall
   self: InboundCall
   once: OnceRun | undefined
@@ -232,7 +228,7 @@
 }
 
 /** Holds a small answer back until its run is recorded; a larger one is passed on and recorded without its body. */
-async function recordAnswer ({ call, reply, clock }: AnswerPassage, once: OnceRun): Promise<void> {
+async function recordAnswer ({ call, reply }: AnswerPassage, once: OnceRun): Promise<void> {
   const head: ResponseHead = { status: reply.status, headers: reply.headers }
   const recorder = createAnswerRecorder(reply.status, reply.headers)
   const held: Uint8Array[] = []
@@ -254,8 +250,8 @@
     for (const part of held) await call.write(part)
   }
   // Recorded before the caller has the last byte: a caller that saw the end gets the same answer when it resends.
-  // While the register is out of reach the answer is passed on all the same and recorded in the background.
-  await Promise.race([once.finished(recorder.done()), clock.sleep(RECORD_WAIT_MS)])
+  // While the register is out of reach this resolves after a second, and the record follows in the background.
+  await once.finished(recorder.done())
   if (passing) return
   call.respond(head)
   for (const part of held) await call.write(part)
