Read the end of the audit trail without verifying all of it

Cause: 'audit show' asked for a full verification to find the last entry, which reads every archive file. Change: the procedure auditHead gives sequence number and hash of the last entry. Measurement: 52 tests of control, node lists, cli and daemon pass.

--- a/packages/cli/src/commands/audit.ts
+++ b/packages/cli/src/commands/audit.ts
@@ -35,9 +35,8 @@
   const limit = Math.min(500, Math.max(1, options.limit))
   const res = await calls.ask<AuditEntry[]>(async (api) => {
     if (options.after !== undefined) return await page(api, options.after, limit)
-    const report = await api.auditVerify.query() as AuditReport
-    const last = report.kind === 'intact' ? report.entries : report.seq
-    return await page(api, Math.max(0, last - limit), limit)
+    const head = await api.auditHead.query()
+    return await page(api, Math.max(0, head.seq - limit), limit)
   })
   return res.map((entries) => ({ text: entries.length === 0 ? 'no entries' : entries.map(formatEntry).join('\n'), json: entries }))
 }
--- a/packages/control/src/api/router.ts
+++ b/packages/control/src/api/router.ts
@@ -1,5 +1,5 @@
 import { z } from 'zod'
-import type { AuditEntry } from '../audit/chain.js'
+import type { AuditAnchor, AuditEntry } from '../audit/chain.js'
 import type { AuditReport } from '../audit/trail.js'
 import { editInputSchema } from './edit-schema.js'
 import type { KeyCalls } from './key-calls.js'
@@ -16,6 +16,8 @@
   status: () => Promise<StatusAnswer>
   clusterInit: (operator: string) => Promise<InitAnswer>
   auditPage: (afterSeq: number, limit: number) => Promise<AuditEntry[]>
+  /** The last entry of the trail. */
+  auditHead: () => AuditAnchor
   auditVerify: () => Promise<AuditReport>
   node: NodeService
   /** Passes a replication message to the log of its group and gives the reply. Messages are opaque here. */
@@ -30,13 +32,14 @@
 
 /** Creates the routes of the control API. */
 export function createControlRouter (services: ControlServices) {
-  const { operator, status, clusterInit, auditPage, auditVerify, node, replicaMessage, vmReport, keys } = services
+  const { operator, status, clusterInit, auditPage, auditHead, auditVerify, node, replicaMessage, vmReport, keys } = services
   return router({
     edit: changeProcedure('edit').input(editInputSchema).mutation(({ ctx, input }) => operator.edit(ctx.caller.name, input)),
     clusterInit: changeProcedure('clusterInit').mutation(({ ctx }) => clusterInit(ctx.caller.name)),
     get: operatorProcedure.query(() => operator.get()),
     history: operatorProcedure.input(historySchema).query(({ input }) => operator.history(input.limit)),
     audit: operatorProcedure.input(auditPageSchema).query(({ input }) => auditPage(input.afterSeq, input.limit)),
+    auditHead: operatorProcedure.query(() => auditHead()),
     auditVerify: operatorProcedure.query(() => auditVerify()),
     status: operatorProcedure.query(() => status()),
     lists: router({
--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -104,6 +104,7 @@
       }),
       clusterInit: createClusterInit({ vmId, groups: namedGroups, lists: listsLog, clock, log }),
       auditPage: trail.page,
+      auditHead: machine.auditHead,
       auditVerify: trail.verify,
       node: createNodeService({ lists: listsLog, machine, confirm, reports, clock, stopping: stopping.signal }),
       replicaMessage: async (group, message) => {
--- a/packages/control/src/testing/api-fixture.ts
+++ b/packages/control/src/testing/api-fixture.ts
@@ -38,6 +38,7 @@
     node,
     status: unused,
     clusterInit: unused,
+    auditHead: machine.auditHead,
     auditVerify: unused,
     vmReport: unused,
     replicaMessage: unused,
