Answer forwards for a term that this process did not lead as unknown

Cause: after a lost disk a VM answered a late copy of a forwarded proposal with notLeader, although the process before had appended it. Change: a process remembers the terms in which it led and says notLeader for these only.

--- a/packages/control/src/replication/leader.ts
+++ b/packages/control/src/replication/leader.ts
@@ -28,6 +28,7 @@
   replica.role = 'leader'
   replica.leaderVmId = self.vmId
   replica.leadership = leadership
+  replica.ledTerms.add(term)
   replica.logger.info({ group: replica.group, term }, 'this replica leads')
   startTask(replica, proposeBody(replica, { kind: 'noop' }))
   startTask(replica, runWriter(replica, leadership))
--- a/packages/control/src/replication/proposals.ts
+++ b/packages/control/src/replication/proposals.ts
@@ -86,8 +86,8 @@
   const unknown: ForwardReply = { kind: 'forward', status: 'outcomeUnknown', message: 'a copy of the request came before; resend with the same id' }
   if (forwards.has(requestId)) return await (forwards.get(requestId) ?? unknown)
   if (leadership?.term !== term) {
-    // The process that led in the term may have taken another copy of the request.
-    if (term <= replica.startTerm) return unknown
+    // An earlier process of this VM, perhaps on another disk, led in the term; it may have taken another copy of the request.
+    if (!replica.ledTerms.has(term)) return unknown
     return { kind: 'forward', status: 'notLeader', message: `this replica does not lead in term ${term}` }
   }
   const reply = proposeForwarded(replica, cmd)
--- a/packages/control/src/replication/replica.ts
+++ b/packages/control/src/replication/replica.ts
@@ -69,8 +69,8 @@
   readonly listeners: Set<(index: number) => void>
   /** Forwarded proposals by request id, so that a message that arrives twice has one effect; undefined once answered. */
   readonly forwards: Map<string, Promise<ForwardReply> | undefined>
-  /** Term at the start of this process; later terms in which this VM led were led by this process. */
-  readonly startTerm: number
+  /** Terms in which this process was the leader. */
+  readonly ledTerms: Set<number>
   role: 'follower' | 'candidate' | 'leader'
   term: number
   vote: string | null
--- a/packages/control/src/replication/replicated-log.ts
+++ b/packages/control/src/replication/replicated-log.ts
@@ -112,7 +112,7 @@
     changed: createNotifier(clock),
     listeners: new Set(),
     forwards: new Map(),
-    startTerm: term,
+    ledTerms: new Set(),
     role: 'follower',
     term,
     vote,
