Keep the lease while a follower's disk is slow

Cause: a sync of a few hundred ms on the followers, as seen on a busy machine, ended the lease; a leader whose own disk hung kept its role. Change: a heartbeat message that needs no disk is sent when append gets no answer; a leader whose write takes longer than proposeTimeoutMs steps down.

--- a/packages/control/src/replication/follower.ts
+++ b/packages/control/src/replication/follower.ts
@@ -1,6 +1,6 @@
 import { applyCommitted } from './apply.js'
-import type { AppendReply, AppendRequest, RefusedReply, SnapshotReply, SnapshotRequest } from './messages.js'
-import { noteStorageError, refusedReply, refreshConfiguration, saveTerm, termAt, type Replica } from './replica.js'
+import type { AppendReply, AppendRequest, RefusedReply, ReplicationReply, SnapshotReply, SnapshotRequest } from './messages.js'
+import { failureOf, noteStorageError, refusedReply, refreshConfiguration, saveTerm, termAt, type Replica } from './replica.js'
 import { adoptTerm } from './roles.js'
 
 /** Follows the sender if its term is current; false when it is outdated or the term could not be saved. */
@@ -18,6 +18,19 @@
   return true
 }
 
+/**
+ * Renews the contact with the leader it follows already. It needs no lock, as it writes nothing: a vote that was granted before has raised
+ * the term, and one that is asked for later is denied.
+ */
+export function handleHeartbeat (replica: Replica, vmId: string, term: number): ReplicationReply {
+  const failure = failureOf(replica)
+  if (failure !== undefined) return refusedReply(replica, 'failed', failure)
+  const isFollowing = term === replica.term && replica.role === 'follower' && replica.leaderVmId === vmId
+  if (isFollowing) replica.leaderContactMs = replica.clock.nowMs()
+  else if (term === replica.term) return refusedReply(replica, 'failed', 'this replica does not follow the sender yet')
+  return { kind: 'heartbeat', term: replica.term }
+}
+
 /** Takes entries from the leader; they are on disk before they are acknowledged. Needs the lock. */
 export async function handleAppend (replica: Replica, vmId: string, req: AppendRequest): Promise<AppendReply | RefusedReply> {
   const { log } = replica.store
--- a/packages/control/src/replication/handler.ts
+++ b/packages/control/src/replication/handler.ts
@@ -1,5 +1,5 @@
 import { handleVote } from './election.js'
-import { handleAppend, handleSnapshot } from './follower.js'
+import { handleAppend, handleHeartbeat, handleSnapshot } from './follower.js'
 import { handleJoin } from './membership.js'
 import type { ReplicationMessage, ReplicationReply } from './messages.js'
 import { handleForward } from './proposals.js'
@@ -13,6 +13,7 @@
   const { body, from } = msg
   switch (body.kind) {
     case 'vote': return await locked(replica, () => handleVote(replica, from.storageId, body))
+    case 'heartbeat': return handleHeartbeat(replica, from.vmId, body.term)
     case 'append': return await locked(replica, () => handleAppend(replica, from.vmId, body))
     case 'snapshot': return await locked(replica, () => handleSnapshot(replica, from.vmId, body))
     case 'readIndex': {
--- a/packages/control/src/replication/leader.ts
+++ b/packages/control/src/replication/leader.ts
@@ -5,7 +5,7 @@
 import { runMembership } from './membership.js'
 import { createNotifier } from './notifier.js'
 import { proposeBody } from './proposals.js'
-import { runReplicator } from './replicator.js'
+import { runHeartbeat, runReplicator } from './replicator.js'
 import { noteStorageError, refreshConfiguration, termAt, type Leadership, type Replica } from './replica.js'
 import { quorumContactMs, stepDown } from './roles.js'
 import { startTask } from './tasks.js'
@@ -17,6 +17,7 @@
     term,
     startedMs: clock.nowMs(),
     firstIndex: 0,
+    writingSinceMs: Infinity,
     progress: new Map(),
     proposals: [],
     waiting: new Map(),
@@ -44,6 +45,7 @@
     if (storageId === replica.self.storageId || leadership.progress.has(storageId)) continue
     const progress = { vmId, storageId, nextIndex: replica.store.log.lastIndex() + 1, matchIndex: 0, contactMs: -Infinity }
     leadership.progress.set(storageId, progress)
+    startTask(replica, runHeartbeat(replica, leadership, progress))
     startTask(replica, runReplicator(replica, leadership, progress, () => advanceCommit(replica, leadership)))
   }
 }
@@ -63,7 +65,9 @@
   if (batch.length === 0) return
   const firstIndex = store.log.lastIndex() + 1
   const entries = batch.map<LogEntry>(({ body }, i) => ({ index: firstIndex + i, term: leadership.term, body }))
+  leadership.writingSinceMs = replica.clock.nowMs()
   const written = await store.log.append(entries)
+  leadership.writingSinceMs = Infinity
   if (written.isErr()) {
     noteStorageError(replica, written.error)
     const { message } = written.error
@@ -99,7 +103,7 @@
   applyCommitted(replica)
 }
 
-/** Ends a leadership that has lost contact with a quorum for the shortest election timeout. */
+/** Ends a leadership that has lost contact with a quorum for the shortest election timeout, or whose disk hangs. */
 async function checkQuorum (replica: Replica, leadership: Leadership) {
   const { clock, settings } = replica
   while (!leadership.ended) {
@@ -109,5 +113,6 @@
     const sinceMs = Math.max(quorumContactMs(replica, nowMs), leadership.startedMs)
     if (replica.closed) stepDown(replica, 'the process is stopping')
     else if (nowMs - sinceMs > settings.electionMinMs) stepDown(replica, 'no contact with a quorum')
+    else if (nowMs - leadership.writingSinceMs > settings.proposeTimeoutMs) stepDown(replica, 'the own disk does not answer; check it')
   }
 }
--- a/packages/control/src/replication/messages.ts
+++ b/packages/control/src/replication/messages.ts
@@ -25,7 +25,11 @@
 
 export type ForwardRequest = { kind: 'forward', requestId: string, term: number, cmd: unknown }
 
+/** Keeps the lease while the receiver writes; says nothing about its log. */
+export type HeartbeatRequest = { kind: 'heartbeat', term: number }
+
 export type RequestBody =
+  | HeartbeatRequest
   | { kind: 'identify', /** The sender is creating a group. */ init: boolean }
   | VoteRequest
   | AppendRequest
@@ -50,6 +54,7 @@
 export type RefusedReply = { kind: 'refused', reason: 'identity' | 'group' | 'failed' | 'closed', storageId: string, message: string }
 
 export type ReplicationReply =
+  | { kind: 'heartbeat', term: number }
   | VoteReply
   | AppendReply
   | SnapshotReply
--- a/packages/control/src/replication/replica.ts
+++ b/packages/control/src/replication/replica.ts
@@ -38,6 +38,8 @@
   startedMs: number
   /** Index of the first entry of the term; 0 until it is written. */
   firstIndex: number
+  /** Start of the write that is under way. */
+  writingSinceMs: number
   progress: Map<string, Progress>
   proposals: Proposal[]
   /** Written entries whose callers wait, by index. */
--- a/packages/control/src/replication/replicator.ts
+++ b/packages/control/src/replication/replicator.ts
@@ -2,6 +2,18 @@
 import { noteStorageError, request, termAt, type Leadership, type Progress, type Replica } from './replica.js'
 import { adoptTerm } from './roles.js'
 
+/** Keeps the contact with a member whose disk takes long, so that a slow sync does not end the lease. */
+export async function runHeartbeat (replica: Replica, leadership: Leadership, progress: Progress) {
+  const { settings, clock } = replica
+  while (isActive(replica, leadership, progress)) {
+    await clock.sleep(settings.heartbeatMs)
+    if (leadership.ended || clock.nowMs() - progress.contactMs <= settings.heartbeatMs) continue
+    const sentMs = clock.nowMs()
+    const reply = await request(replica, progress.vmId, { kind: 'heartbeat', term: leadership.term }, progress.storageId)
+    if (!leadership.ended && reply?.kind === 'heartbeat') acceptsTerm(replica, leadership, progress, reply.term, sentMs)
+  }
+}
+
 /** Keeps one member's log equal to the leader's; one message at a time. */
 export async function runReplicator (replica: Replica, leadership: Leadership, progress: Progress, onMatch: () => void) {
   const { settings, store } = replica
--- a/packages/control/src/replication/storage-faults.test.ts
+++ b/packages/control/src/replication/storage-faults.test.ts
@@ -110,3 +110,27 @@
     }
   }
 })
+
+// Guards against leaders that lose their lease because the disks of the others are slow.
+test('slow syncs on the followers delay entries but do not end the lease', async (t) => {
+  const { cluster, leader, commands } = await createFilledCluster(26)
+  const { term } = leader.log!.status()
+  for (const vm of cluster.vms.filter((other) => other !== leader)) vm.onDiskOperation = () => cluster.clock.sleep(900)
+  for (const cmd of ['x', 'y']) t.true((await cluster.propose(leader.vmId, cmd)).isOk())
+  t.true(leader.log!.status().leaseMs > 0)
+  t.is(leader.log!.status().term, term)
+  for (const vm of cluster.vms) vm.onDiskOperation = undefined
+  await cluster.converge()
+  for (const { machine } of cluster.vms) t.deepEqual(machine.applied, [...commands, 'x', 'y'])
+  t.deepEqual(cluster.violations, [])
+})
+
+// Guards against a leader that keeps its role while its own disk hangs.
+test('a leader whose disk hangs hands over', async (t) => {
+  const { cluster, leader } = await createFilledCluster(27)
+  leader.onDiskOperation = () => new Promise<never>(() => {})
+  t.true((await cluster.propose(leader.vmId, 'open')).isErr())
+  await cluster.until(() => cluster.leader() !== undefined && cluster.leader() !== leader, 'another leader')
+  t.true((await cluster.propose(cluster.leader()!.vmId, 'after')).isOk())
+  t.deepEqual(cluster.violations, [])
+})
--- a/packages/control/src/replication/testing/cluster.ts
+++ b/packages/control/src/replication/testing/cluster.ts
@@ -13,8 +13,8 @@
   log: ControlLog<string, number> | undefined
   machine: Recorder
   process: { isDead: boolean, isFrozen: boolean }
-  /** Runs before each operation on the disk; may kill the process. */
-  onDiskOperation: (() => void) | undefined
+  /** Runs before each operation on the disk; may delay it or kill the process. */
+  onDiskOperation: (() => Promise<void> | void) | undefined
   /** Why the last start failed. */
   startError: string | undefined
 }
@@ -72,7 +72,7 @@
       },
       settings,
       fileSystem: target.disk.mount(async () => {
-        target.onDiskOperation?.()
+        await target.onDiskOperation?.()
         await gate()
       }),
       clock: {
