--- a/packages/lab/src/load/accounting.ts
+++ b/packages/lab/src/load/accounting.ts
@@ -20,6 +20,7 @@
   perSecond: number
   /** Measured part of the phase, in s. */
   seconds: number
+  /** Goodput that came back in the measured part, whenever it was requested; a backlog that ends later does not count here. */
   goodputPerSecond: number
   /** By operation name. */
   operations: Record<string, Tally>
@@ -55,13 +56,17 @@
     const lag = histogram()
     for (const arrival of picked) record(lag, results[arrival.id]!.lagMs)
     const tallies = operations.map((_, op) => tally(picked.filter((arrival) => arrival.operation === op), results))
-    const good = tallies.reduce((sum, one) => sum + one.good, 0)
+    const endMs = startMs
+    const cameBack = arrivals.filter((arrival) => {
+      const { good, latencyMs } = results[arrival.id]!
+      return good && arrival.atMs + latencyMs >= fromMs && arrival.atMs + latencyMs < endMs
+    }).length
     const seconds = phase.seconds - settledS
     return {
       name: phase.name,
       perSecond: phase.perSecond,
       seconds,
-      goodputPerSecond: good / seconds,
+      goodputPerSecond: cameBack / seconds,
       operations: Object.fromEntries(operations.map((name, op) => [name, tallies[op]!])),
       foreign: picked.filter((arrival) => results[arrival.id]!.code === 'foreign').length,
       lagP99Ms: inMs(lag.getValueAtPercentile(99))
