--- a/packages/core/src/lists/lookup.test.ts
+++ b/packages/core/src/lists/lookup.test.ts
@@ -34,6 +34,8 @@
 // Guards against lists that pass validation but can't be applied.
 test('lists with dangling plans, doubled operations or non-repeatable reads are rejected', (t) => {
   t.false(listsSchema.safeParse({ customers: { a: 'gone' }, plans: {} }).success)
+  // A name that every object inherits is no plan either.
+  t.false(listsSchema.safeParse({ customers: { a: 'constructor' }, plans: {} }).success)
   t.throws(() => listsWith([operation('POST', '/a'), operation('POST', '/a')]), { message: /listed twice/ })
   t.throws(() => listsWith([operation('GET', '/a', { repeatable: false })]), { message: /always repeatable/ })
   t.throws(() => listsWith([operation('GET', '/a', { colour: 'red' })]), { message: /colour/ })
--- a/packages/core/src/lists/schema.ts
+++ b/packages/core/src/lists/schema.ts
@@ -38,7 +38,7 @@
   plans: z.record(identifier, planSchema)
 }).superRefine((lists, ctx) => {
   for (const [customer, plan] of Object.entries(lists.customers)) {
-    if (lists.plans[plan] === undefined) {
+    if (!Object.hasOwn(lists.plans, plan)) {
       ctx.addIssue({ code: 'custom', path: ['customers', customer], message: `plan "${plan}" is not in the plans list; add it or change the customer` })
     }
   }
--- a/packages/core/src/settings/schema.ts
+++ b/packages/core/src/settings/schema.ts
@@ -56,7 +56,7 @@
   vm: vmSettingsSchema,
   node: nodeSettingsSchema.optional(),
   control: controlSettingsSchema.optional(),
-  /** The control VMs, this one included when the role is control; 1, 3, 5 or 7 of them. */
+  /** The control VMs, this one included when the role is control; an odd number of them loses nothing over the next even one. */
   controls: z.array(controlPeerSchema).min(1).max(8),
   auth: z.strictObject({
     /** Shared by all processes of the fleet. */
--- a/packages/core/src/time/clock.ts
+++ b/packages/core/src/time/clock.ts
@@ -39,12 +39,14 @@
     wallMs: () => now,
     sleep: (ms, signal) => new Promise((resolve) => {
       if (signal?.aborted) return resolve()
-      const sleeper = { dueMs: now + ms, wake: resolve }
-      sleepers.push(sleeper)
-      signal?.addEventListener('abort', () => {
+      const wake = () => {
         sleepers = sleepers.filter((other) => other !== sleeper)
+        signal?.removeEventListener('abort', wake)
         resolve()
-      }, { once: true })
+      }
+      const sleeper = { dueMs: now + ms, wake }
+      sleepers.push(sleeper)
+      signal?.addEventListener('abort', wake, { once: true })
     }),
     advance: async (ms) => {
       const endMs = now + ms
@@ -53,7 +55,6 @@
         const next = sleepers.filter((s) => s.dueMs <= endMs).sort((a, b) => a.dueMs - b.dueMs)[0]
         if (next === undefined) break
         now = next.dueMs
-        sleepers = sleepers.filter((other) => other !== next)
         next.wake()
         await settle()
       }
