Sign reads of a node's decision records, members and counters

Cause: any caller could read them on the caller port. Change: the request verifier moved to core; a node takes reads signed with the fleet key or by an operator of its settings; orioleslip explain signs with the operator's key, the lab with the fleet key.

--- a/packages/cli/src/commands/explain.ts
+++ b/packages/cli/src/commands/explain.ts
@@ -1,7 +1,8 @@
-import { WELL_KNOWN_PREFIX } from '@orioleslip/core'
+import { authorizeRequest, WELL_KNOWN_PREFIX } from '@orioleslip/core'
 import type { StatusAnswer } from '@orioleslip/control/client'
 import { err, ok, type Result } from 'neverthrow'
 import { fetch } from 'undici'
+import type { ClientSettings } from '../client-settings.js'
 import type { ControlCalls } from '../control-calls.js'
 import { EXIT, type CliError, type Output } from '../exit-codes.js'
 
@@ -12,13 +13,17 @@
 
 type Missing = { node: string, problem?: string }
 
-async function askNode (node: string, requestId: string): Promise<Found | Missing> {
-  const url = `http://${node}${WELL_KNOWN_PREFIX}explain/${encodeURIComponent(requestId)}`
+type Operator = Pick<ClientSettings, 'operator' | 'key'>
+
+async function askNode (node: string, requestId: string, { operator, key }: Operator): Promise<Found | Missing> {
+  const path = `${WELL_KNOWN_PREFIX}explain/${encodeURIComponent(requestId)}`
+  const signed = { method: 'GET', authority: node, path, body: '' }
+  const authorization = authorizeRequest({ kind: 'operator', name: operator }, key, signed, Date.now())
   try {
-    const res = await fetch(url, { signal: AbortSignal.timeout(TIMEOUT_MS) })
+    const res = await fetch(`http://${node}${path}`, { headers: { authorization }, signal: AbortSignal.timeout(TIMEOUT_MS) })
     if (res.status === 200) return { node, record: await res.json() }
-    await res.body?.cancel()
-    return res.status === 404 ? { node } : { node, problem: `status ${res.status}` }
+    const answer = await res.json() as { error?: string }
+    return res.status === 404 ? { node } : { node, problem: `status ${res.status}: ${answer.error ?? ''}` }
   } catch (cause) {
     return { node, problem: cause instanceof Error ? cause.message : String(cause) }
   }
@@ -26,7 +31,7 @@
 
 /** `explain`: asks the given nodes, or all that poll the control VMs, for their records of a request. */
 export async function explainRequest (
-  calls: ControlCalls, requestId: string, named: string[] | undefined
+  calls: ControlCalls, requestId: string, named: string[] | undefined, operator: Operator
 ): Promise<Result<Output, CliError>> {
   let nodes = named
   if (nodes === undefined) {
@@ -37,7 +42,7 @@
   const found: Found[] = []
   const problems: string[] = []
   for (let i = 0; i < nodes.length; i += PARALLEL) {
-    for (const answer of await Promise.all(nodes.slice(i, i + PARALLEL).map((node) => askNode(node, requestId)))) {
+    for (const answer of await Promise.all(nodes.slice(i, i + PARALLEL).map((node) => askNode(node, requestId, operator)))) {
       if ('record' in answer) found.push(answer)
       else if (answer.problem !== undefined) problems.push(`${answer.node}: ${answer.problem}`)
     }
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -140,7 +140,7 @@
   program.command('explain').description('Shows why a request was decided as it was.').argument('<requestId>', 'Orioleslip-Request-Id of the response')
     .option('--node <address:port>', 'caller listener of a node; by default all nodes known to the control VMs', append)
     .action((requestId: string, options: { node?: string[] }) => withControls((calls, settings) =>
-      explainRequest(calls, requestId, options.node ?? (settings.nodes.length > 0 ? settings.nodes : undefined))))
+      explainRequest(calls, requestId, options.node ?? (settings.nodes.length > 0 ? settings.nodes : undefined), settings)))
 
   try {
     await program.parseAsync([...argv], { from: 'user' })
--- a/packages/control/src/api/server.ts
+++ b/packages/control/src/api/server.ts
@@ -1,3 +1,4 @@
+import type { RequestVerifier } from '@orioleslip/core'
 import type { AddressInfo } from 'node:net'
 import type { Server } from 'node:http'
 import { serve } from '@hono/node-server'
@@ -7,7 +8,6 @@
 import { err, ok, type Result } from 'neverthrow'
 import type { Logger } from 'pino'
 import type { Attempt } from './attempt-log.js'
-import type { RequestVerifier } from './request-verifier.js'
 import { createControlRouter, type ControlServices } from './router.js'
 import type { ApiContext } from './trpc.js'
 
--- a/packages/control/src/api/trpc.ts
+++ b/packages/control/src/api/trpc.ts
@@ -1,6 +1,6 @@
+import type { Caller } from '@orioleslip/core'
 import { initTRPC, TRPCError } from '@trpc/server'
 import type { Attempt } from './attempt-log.js'
-import type { Caller } from './request-verifier.js'
 
 export type ApiContext = { caller: Caller, recordAttempt: (attempt: Attempt) => void }
 
--- a/packages/control/src/api/request-verifier.test.ts
+++ b/packages/core/src/auth/request-verifier.test.ts
@@ -1,8 +1,10 @@
 import test from 'ava'
-import { authorizeRequest, createFakeClock, type Principal } from '@orioleslip/core'
-import { FLEET_KEY, OPERATOR_KEY } from '../testing/api-fixture.js'
+import { createFakeClock } from '../time/clock.js'
+import { authorizeRequest, type Principal } from './request-auth.js'
 import { createRequestVerifier, MAX_CLOCK_SKEW_MS } from './request-verifier.js'
 
+const FLEET_KEY = 'fleet-key-0123456789'
+const OPERATOR_KEY = 'operator-key-0123456789'
 const NOW_MS = 1_800_000_000_000
 const ANA: Principal = { kind: 'operator', name: 'ana' }
 const request = { method: 'POST', authority: '10.0.0.1:7000', path: '/trpc/edit', body: '{"editId":"one"}' }
--- a/packages/control/src/api/request-verifier.ts
+++ b/packages/core/src/auth/request-verifier.ts
@@ -1,4 +1,6 @@
-import { parseAuthorization, verifyCredential, type Clock, type OperatorKey, type Principal, type SignedRequest } from '@orioleslip/core'
+import type { OperatorKey } from '../settings/schema.js'
+import type { Clock } from '../time/clock.js'
+import { parseAuthorization, verifyCredential, type Principal, type SignedRequest } from './request-auth.js'
 
 /** Who sent a request. `claimed` is the name that an unauthenticated sender gave. */
 export type Caller = Principal | { kind: 'unauthenticated', claimed: string, reason: string }
@@ -42,13 +44,13 @@
     const { principal } = credential
     const name = principal.kind === 'fleet' ? 'fleet' : principal.name
     const key = principal.kind === 'fleet' ? fleetKey : operatorKeys.get(principal.name)
-    if (key === undefined) return refuse(`operator "${name}" is not in the settings of this control VM`, name)
+    if (key === undefined) return refuse(`operator "${name}" is not in the settings of this process`, name)
     if (!verifyCredential(credential, key, req)) {
       return refuse(`the signature does not match; check the key and that the request was sent to ${req.authority}`, name)
     }
     const nowMs = clock.wallMs()
     if (Math.abs(nowMs - credential.wallMs) > MAX_CLOCK_SKEW_MS) {
-      return refuse(`the clocks differ by more than ${MAX_CLOCK_SKEW_MS / 1000} s; correct the clock of the sender or of the control VM`, name)
+      return refuse(`the clocks differ by more than ${MAX_CLOCK_SKEW_MS / 1000} s; correct the clock of the sender or of this VM`, name)
     }
     if (principal.kind === 'operator' && !isFresh(credential.nonce, nowMs)) return refuse('the request was sent before; sign it again', name)
     return principal
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,4 +1,5 @@
 export * from './auth/request-auth.js'
+export * from './auth/request-verifier.js'
 export * from './auth/signature.js'
 export * from './context/priority.js'
 export * from './context/root-context.js'
--- a/packages/core/src/settings/schema.ts
+++ b/packages/core/src/settings/schema.ts
@@ -61,7 +61,7 @@
   auth: z.strictObject({
     /** Shared by all processes of the fleet. */
     fleetKey: key,
-    /** Read by control processes only. */
+    /** Operators that may ask this process; control processes take edits from them, nodes show them decision records. */
     operators: z.array(operatorKeySchema).default([])
   }),
   log: z.strictObject({ level: z.enum(['trace', 'debug', 'info', 'warn', 'error']).default('info') }).prefault({}),
--- a/packages/lab/src/demo/main.ts
+++ b/packages/lab/src/demo/main.ts
@@ -1,7 +1,7 @@
 import { randomUUID } from 'node:crypto'
 import { HEADERS } from '@orioleslip/core'
 import { request } from 'undici'
-import { startFleet, waitUntil, type Fleet } from '../fleet/fleet.js'
+import { getJson, startFleet, waitUntil, type Fleet } from '../fleet/fleet.js'
 import { demoFleet } from './fleet-spec.js'
 import { demoLists } from './lists.js'
 
@@ -63,8 +63,8 @@
   await fleet.setLists(demoLists(60))
   await waitUntil('the edit is in force on every node', async () => {
     const revisions = await Promise.all(fleet.vms.map(async (vm) => {
-      const res = await request(`${vm.url}/.well-known/orioleslip/state`)
-      return (await res.body.json() as { revision: number }).revision
+      const { revision } = await getJson<{ revision: number }>(`${vm.url}/.well-known/orioleslip/state`)
+      return revision
     }))
     return revisions.every((revision) => revision === 2)
   })
--- a/packages/lab/src/fleet/fleet.ts
+++ b/packages/lab/src/fleet/fleet.ts
@@ -2,7 +2,7 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
-import type { Lists, Member, NodeSettings } from '@orioleslip/core'
+import { authorizeRequest, type Lists, type Member, type NodeSettings } from '@orioleslip/core'
 import type { StatsSnapshot } from '@orioleslip/node'
 import { stringify } from 'smol-toml'
 import { request } from 'undici'
@@ -11,7 +11,7 @@
 import type { LinkDelays, LinkPlan, Place } from './link-plan.js'
 import { runOperatorCommand } from './operator.js'
 import { freePort } from './ports.js'
-import { HOST, writeControlSettings, writeNodeSettings, type ControlVm, type TargetVm } from './settings-files.js'
+import { FLEET_KEY, HOST, writeControlSettings, writeNodeSettings, type ControlVm, type TargetVm } from './settings-files.js'
 
 /** One VM of an experiment before ports are chosen. `target` is absent on VMs that only let callers in. */
 export type VmSpec = {
@@ -66,9 +66,12 @@
 const READY_TIMEOUT_MS = 30_000
 const POLL_MS = 100
 
-/** Fetches JSON from a loopback URL. */
+/** Fetches JSON from a loopback URL, signed with the key of the experiment's fleet. */
 export async function getJson<T> (url: string): Promise<T> {
-  const res = await request(url, { headersTimeout: 2000 })
+  const { host, pathname, search } = new URL(url)
+  const signed = { method: 'GET', authority: host, path: pathname + search, body: '' }
+  const authorization = authorizeRequest({ kind: 'fleet' }, FLEET_KEY, signed, Date.now())
+  const res = await request(url, { headersTimeout: 2000, headers: { authorization } })
   if (res.statusCode !== 200) throw new Error(`${url} answered ${res.statusCode}: ${await res.body.text()}`)
   return await res.body.json() as T
 }
--- a/packages/lab/src/fleet/settings-files.ts
+++ b/packages/lab/src/fleet/settings-files.ts
@@ -52,6 +52,6 @@
     role: 'node',
     vm: { id: vm.vmId, address: HOST, region: vm.region, failureDomain: vm.failureDomain },
     node: { callerPort: vm.callerPort, peerPort: vm.peerPort, gossipPort: vm.gossipPort, ...overrides },
-    ...common(controls, [])
+    ...common(controls, [OPERATOR])
   })
 }
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -1,7 +1,8 @@
 import {
-  LEVEL_INTERVAL_MS, systemClock, systemRandom,
+  LEVEL_INTERVAL_MS, createRequestVerifier, systemClock, systemRandom,
   type AskQuota, type Clock, type PeerAddress, type QuotaAsk, type Random, type Settings
 } from '@orioleslip/core'
+import { toAuthority } from '@orioleslip/control/client'
 import type { Logger } from 'pino'
 import { createEntryAdmission } from './admission/entry-admission.js'
 import { createOpenGate, openAdmission, openQuotas } from './admission/pass-through.js'
@@ -63,9 +64,11 @@
   const { vm, auth: { fleetKey } } = settings
   const peerAddress: PeerAddress = { host: vm.address, port: cfg.peerPort }
 
+  const callerAuthority = toAuthority(vm.address, cfg.callerPort)
+
   const members = await joinMembership(settings, { log, clock, random })
   const poller = createListsPoller({
-    controls: settings.controls, fleetKey, vmId: vm.id, log, clock, random, callerAddress: `${vm.address}:${cfg.callerPort}`
+    controls: settings.controls, fleetKey, vmId: vm.id, log, clock, random, callerAddress: callerAuthority
   })
   const availability = createAvailability(clock)
   const inbound = createInboundCalls(clock.nowMs)
@@ -145,6 +148,8 @@
     watch.announce({ service, capacity, state: availability.stopping() ? 'leaving' : state })
   }
   const wellKnown = createWellKnown({
+    authority: callerAuthority,
+    verify: createRequestVerifier({ fleetKey, operators: settings.auth.operators, clock }),
     announce,
     records,
     members: members.all,
--- a/packages/node/src/server/well-known.ts
+++ b/packages/node/src/server/well-known.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage } from 'node:http'
 import { getRequestListener } from '@hono/node-server'
-import { WELL_KNOWN_PREFIX, type Member } from '@orioleslip/core'
+import { WELL_KNOWN_PREFIX, type Member, type RequestVerifier } from '@orioleslip/core'
 import { Hono } from 'hono'
 import type { DecisionRecords } from '../calls/decision-records.js'
 import type { StatsSnapshot } from '../calls/node-stats.js'
@@ -8,6 +8,9 @@
 import type { RequestListener } from './caller-server.js'
 
 export type WellKnownOptions = {
+  /** `address:port` of the caller listener, which requests are signed for. */
+  authority: string
+  verify: RequestVerifier
   announce: (announcement: Announcement) => void
   records: DecisionRecords
   members: () => Member[]
@@ -31,6 +34,14 @@
     options.announce(parsed.data)
     return c.json({ accepted: true })
   })
+  // Decision records and members are for operators and for processes of the fleet, not for callers.
+  app.use('*', async (c, next) => {
+    const { pathname, search } = new URL(c.req.url)
+    const signed = { method: c.req.method, authority: options.authority, path: pathname + search, body: '' }
+    const caller = options.verify(c.req.header('authorization'), signed)
+    if (caller.kind === 'unauthenticated') return c.json({ error: caller.reason }, 401)
+    return next()
+  })
   app.get('/explain/:requestId', (c) => {
     const records = options.records.find(c.req.param('requestId'))
     return records.length === 0 ? c.json({ error: 'no record of this request on this node' }, 404) : c.json({ records })
