--- a/packages/control/src/replication/testing/model.ts
+++ b/packages/control/src/replication/testing/model.ts
@@ -75,7 +75,10 @@
 async function heal ({ cluster, calls }: Real) {
   cluster.network.heal()
   cluster.network.loss = 0
-  for (const { process } of cluster.vms) process.isFrozen = false
+  for (const vm of cluster.vms) {
+    vm.process.isFrozen = false
+    vm.onDiskOperation = undefined
+  }
   // A damaged replica starts only once the others have a leader, so its start may have to be repeated.
   for (let i = 0; i < 2; i++) for (const { vmId, log } of cluster.vms) if (log === undefined) await cluster.start(vmId)
   await cluster.converge()
@@ -96,7 +99,10 @@
 /** Ends freezes, cuts and crashes, without waiting for the group. */
 async function revive ({ cluster }: Real) {
   cluster.network.heal()
-  for (const { process } of cluster.vms) process.isFrozen = false
+  for (const vm of cluster.vms) {
+    vm.process.isFrozen = false
+    vm.onDiskOperation = undefined
+  }
   for (const { vmId, log } of cluster.vms) if (log === undefined) await cluster.start(vmId)
 }
 
@@ -115,6 +121,7 @@
     onVm('kill', (cluster, id) => cluster.kill(id, true)),
     ...times(2, onVm('isolate', (cluster, id) => cluster.network.isolate(id))),
     ...times(3, fc.tuple(vmId, vmId).map(([a, b]) => command(`cut ${a} to ${b}`, ({ cluster }) => cluster.network.cut(a, b)))),
+    onVm('slow down the disk of', (cluster, id) => { cluster.vm(id).onDiskOperation = () => cluster.clock.sleep(400) }),
     onVm('freeze', (cluster, id) => { cluster.vm(id).process.isFrozen = true }),
     onVm('resume', (cluster, id) => { cluster.vm(id).process.isFrozen = false }),
     fc.constantFrom(0, 0, 0.1, 0.3).map((loss) => command(`lose ${loss} of the messages`, ({ cluster }) => { cluster.network.loss = loss })),
