--- a/packages/node/src/members/index.ts
+++ b/packages/node/src/members/index.ts
@@ -1,7 +1,7 @@
 export { createMembers, createSelfRecord } from './members.js'
 export type { Members, MembersOptions } from './members.js'
 export { openUdpSocket } from './socket.js'
-export type { Address, DatagramSocket } from './socket.js'
+export type { Address, DatagramSocket, UdpSocket } from './socket.js'
 export { createTargetWatch, TARGET_SILENCE_MS } from './target-watch.js'
 export type { TargetWatch, TargetWatchOptions } from './target-watch.js'
 export type { ChannelStats } from './channel.js'
