Let the level fall without traffic and cut the limit once per round trip by order

Cause: the new tests showed that the level never fell when a target got no calls at all, and that a limit trial with a target that sheds at its slots made no progress: shed answers within one latency of a cut were ignored, so that the same call was sent again. Change: the throughput at full use is remembered; the share of the spare capacity may exceed 1 after steps without effect; what was offered is forgotten slowly once admitted; a shed answer counts when its call was sent after the last cut.

--- a/packages/node/src/admission/admission-level.ts
+++ b/packages/node/src/admission/admission-level.ts
@@ -39,15 +39,18 @@
 const RISE_GAIN = 0.6
 // Entry nodes learn the new level one chain latency later; falling before that would only repeat the overload.
 const HOLD_TICKS = 3
-// Share of the spare capacity that a falling step gives away, first and at most.
+// Share of the spare capacity that a falling step gives away, first and at most. Steps that should have used up the spare capacity
+// and did not show that demand has fallen since it was last seen, so that the share may then exceed 1.
 const FIRST_SHARE = 0.1
-const MAX_SHARE = 0.5
+const MAX_SHARE = 4
 const SHARE_GROWTH = 2
 // Even with all slots in use the level falls a little while there is no queue, to find out whether demand has ended.
 const MIN_ADDED_SHARE = 0.01
 const MAX_STEP = 32
 // Refused calls don't arrive; what arrived before they were refused is forgotten with a half-life of about 14 s.
 const OFFERED_MEMORY = 0.995
+// Once admitted, calls arrive again only after entry nodes have learnt it.
+const ADMITTED_MEMORY = 0.9
 // A band is entered only when the bands below it make up less than this share of the arrivals (probes remain).
 const LOWER_BANDS_SHARE = 0.1
 
@@ -59,6 +62,8 @@
   const offered = new Float64Array(PRIORITY_COUNT)
   let dispatched = 0
   let windowsMs = 0
+  // Calls per window at full use; kept while the target is too idle to tell.
+  let knownCapacity = 0
   let level = 0
   let share = FIRST_SHARE
   let holdTicks = 0
@@ -87,7 +92,7 @@
   }
   // Lowers the level as far as the offered calls below it fit into a share of the spare capacity.
   const fall = (use: number): void => {
-    const capacity = dispatched / Math.max(0.05, use)
+    const capacity = Math.max(knownCapacity, dispatched / Math.max(0.05, use))
     let room = capacity * Math.max(MIN_ADDED_SHARE, (1 - use) * share)
     const floor = Math.max(0, level - MAX_STEP)
     while (level > floor && room > 0) {
@@ -106,11 +111,12 @@
     tick: (window, windowMs) => {
       for (let p = 0; p < PRIORITY_COUNT; p++) {
         arrivals[p] = arrivals[p]! * MEMORY + fresh[p]!
-        offered[p] = p + 1 > level ? arrivals[p]! : Math.max(arrivals[p]!, offered[p]! * OFFERED_MEMORY)
+        offered[p] = Math.max(arrivals[p]!, offered[p]! * (p + 1 > level ? ADMITTED_MEMORY : OFFERED_MEMORY))
       }
       fresh.fill(0)
       dispatched = dispatched * MEMORY + window.dispatched
       windowsMs = windowsMs * MEMORY + windowMs
+      if (window.use > 0.25) knownCapacity = dispatched / window.use
       const delayMs = window.queued === 0 ? 0 : window.queued / Math.max(dispatched, 0.1) * windowsMs
       const setpointMs = Math.max(SETPOINT_MS, window.serviceMs * SETPOINT_SERVICE_SHARE)
       if (delayMs > setpointMs || window.dropped > 0) {
--- a/packages/node/src/limits/concurrency-limit.ts
+++ b/packages/node/src/limits/concurrency-limit.ts
@@ -3,7 +3,7 @@
 import type { Phase } from './phase.js'
 
 /** Facts about a call at its dispatch that its end is compared with. */
-export type Dispatch = { startMs: number, opKey: string, phase: Phase | undefined }
+export type Dispatch = { order: number, opKey: string, phase: Phase | undefined }
 
 /** Concurrency limit of one target, learnt from the calls it runs. */
 export type ConcurrencyLimit = {
@@ -55,6 +55,8 @@
   let startedMs = 0
   let lastCutMs = -Infinity
   let shedAt = Infinity
+  let dispatches = 0
+  let cutOrder = 0
   let latencyMs = 0
   let width = WIDE
   let lastStep = 0
@@ -133,7 +135,8 @@
   return {
     limit: () => {
       if (capacity === 0) return 0
-      return phase === undefined ? base() : Math.min(phase.limit, base())
+      // A phase that has ended but is not yet replaced must not hold the limit down when load has stopped.
+      return phase === undefined || clock.nowMs() >= phase.endMs ? base() : Math.min(phase.limit, base())
     },
     targetStarted: (announced) => {
       capacity = Math.max(1, announced)
@@ -147,22 +150,24 @@
     },
     dispatched: (opKey, saturated) => {
       inFlight++
+      const order = dispatches++
       advance()
       const nowMs = clock.nowMs()
       const mayOpen = saturated && latencyMs > 0 && base() > 1 && rampCap() === Infinity && nowMs >= restUntilMs
       if (phase === undefined && mayOpen) openPhase(base())
-      if (phase === undefined || nowMs < phase.settledMs) return { startMs: nowMs, opKey, phase: undefined }
+      if (phase === undefined || nowMs < phase.settledMs) return { order, opKey, phase: undefined }
       phase.dispatches++
       if (saturated) phase.saturated++
-      return { startMs: nowMs, opKey, phase }
+      return { order, opKey, phase }
     },
     ended: (dispatch, end) => {
       inFlight--
       advance()
       switch (end.kind) {
         case 'targetShed':
-          // Calls sent before the last cut, or within one round trip of it, say nothing about the limit after it.
-          if (dispatch.startMs <= lastCutMs || clock.nowMs() - lastCutMs < latencyMs) return
+          // Calls sent before the last cut say nothing about the limit after it, so that there is one cut per round trip.
+          if (dispatch.order < cutOrder) return
+          cutOrder = dispatches
           lastCutMs = clock.nowMs()
           shedAt = Math.max(1, inFlight + 1)
           learnt = Math.max(minLimit(), Math.min(learnt, shedAt) * SHED_FACTOR)
