--- a/packages/node/src/admission/admission-level.ts
+++ b/packages/node/src/admission/admission-level.ts
@@ -38,7 +38,7 @@
 // A rise takes effect one chain latency later, and calls of several priorities are still on their way; a full step refuses too much.
 const RISE_GAIN = 0.6
 // Entry nodes learn the new level one chain latency later; falling before that would only repeat the overload.
-const HOLD_TICKS = 3
+const HOLD_TICKS = 2
 // Share of the spare capacity that a falling step gives away, first and at most. Steps that should have used up the spare capacity
 // and did not show that demand has fallen since it was last seen, so that the share may then exceed 1.
 const FIRST_SHARE = 0.1
