Take no work before the membership confirms this node

Cause: a node that was frozen and declared failed could run calls before it had refuted its failure. Change: the executor refuses as not run until members.isConfirmed().

--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -1,5 +1,5 @@
 import {
-  LEVEL_INTERVAL_MS, createRequestVerifier, systemClock, systemRandom,
+  LEVEL_INTERVAL_MS, createRequestVerifier, notRun, systemClock, systemRandom,
   type AskQuota, type Clock, type PeerAddress, type QuotaAsk, type Random, type Settings
 } from '@orioleslip/core'
 import { toAuthority } from '@orioleslip/control/client'
@@ -100,7 +100,9 @@
   const control = createControlCall({ controls: settings.controls, fleetKey, clock, random })
   const register = createRegisterClient(control.call)
   const guard = createOnceGuard({ register, clock, log, vmId: vm.id })
-  const executor = createExecutor({ target, gate, inbound, guard, clock, closedFor: availability.targetClosed })
+  // After a freeze the fleet may have given this node's work to others; it takes none until it has refuted its failure.
+  const closedFor = () => members.isConfirmed() ? availability.targetClosed() : notRun('no-target', 'the node is not yet a confirmed member', 1)
+  const executor = createExecutor({ target, gate, inbound, guard, clock, closedFor })
   const listener = await listenForPeers({
     address: peerAddress,
     identity: { fleetKey, vmId: vm.id },
