Don't count deadlines shorter than the operation as overload

Cause: each call refused on arrival because its deadline is shorter than the operation's median raised the admission level of an idle target, so that one client could get everybody refused. Change: such calls are neither arrivals nor drops for the level. The new test fails without the change.

--- a/packages/node/src/admission/target-gate.test.ts
+++ b/packages/node/src/admission/target-gate.test.ts
@@ -129,3 +129,15 @@
   gate.targetStarted(50)
   t.is(gate.load().limit, 5)
 })
+
+// Guards against one client with very short deadlines that gets the requests of all others refused.
+test('deadlines shorter than the operation do not raise the level of an idle target', async (t) => {
+  const { clock, gate, enter } = await createGate(10)
+  for (let i = 0; i < 50; i++) {
+    release(await enter().done, 50)
+    for (let n = 0; n < 20; n++) await enter({ remainingMs: 1 }).done
+    await clock.advance(100)
+    gate.tick()
+  }
+  t.is(gate.load().level, 0)
+})
--- a/packages/node/src/admission/target-gate.ts
+++ b/packages/node/src/admission/target-gate.ts
@@ -100,11 +100,9 @@
     enter: async (req) => {
       if (limiter.limit() === 0) return refused(notRun('no-target', 'no target has announced itself beside this node', 1))
       if (req.signal.aborted) return refused(notRun('deadline-exceeded', 'the caller went away before the call was queued'))
+      // A deadline that is too short for the operation itself is no sign of overload.
+      if (tooLate(req, req.remainingMs)) return tooLateRefusal(req, req.remainingMs)
       level.arrived(req.priority)
-      if (tooLate(req, req.remainingMs)) {
-        dropped++
-        return tooLateRefusal(req, req.remainingMs)
-      }
       if (queue.size() === 0 && inFlight < limiter.limit()) return { kind: 'permit', permit: issue(req.opKey) }
       return wait(req)
     },
