--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,4 +1,4 @@
-#!/usr/bin/env node
+#!/usr/bin/env -S node --max-semi-space-size=2
 import { runDaemon } from './run.js'
 
 const code = await runDaemon(process.argv.slice(2))
--- a/packages/lab/src/fleet/child.ts
+++ b/packages/lab/src/fleet/child.ts
@@ -19,10 +19,16 @@
 // A tool that ends early, by an exception or a closed pipe, must not leave its fleet behind.
 process.on('exit', () => { for (const child of running) child.kill('SIGKILL') })
 
+/** Flags with which the daemon is installed; a young generation of 2 MB instead of 16 MB saves a busy node about 25 MB. */
+export const DAEMON_FLAGS = ['--max-semi-space-size=2', '--max-old-space-size=256']
+
+export type ProcessOptions = { name: string, script: string, args: string[], logFile: string, flags?: string[], preload?: Preload | undefined }
+
 /** Starts a Node.js program; its output goes to `logFile`. */
-export function startProcess (name: string, script: string, args: string[], logFile: string, preload?: Preload): FleetProcess {
-  const log = openSync(logFile, 'a')
-  const flags = ['--max-old-space-size=256', ...(preload === undefined ? [] : ['--import', preload.module])]
+export function startProcess (options: ProcessOptions): FleetProcess {
+  const { name, script, args, preload } = options
+  const log = openSync(options.logFile, 'a')
+  const flags = [...(options.flags ?? []), ...(preload === undefined ? [] : ['--import', preload.module])]
   const child: ChildProcess = spawn(process.execPath, [...flags, script, ...args], {
     stdio: ['ignore', log, log],
     env: { ...process.env, ...preload?.env }
--- a/packages/lab/src/fleet/fleet.ts
+++ b/packages/lab/src/fleet/fleet.ts
@@ -7,7 +7,7 @@
 import { stringify } from 'smol-toml'
 import { request } from 'undici'
 import type { TargetCounts, TargetSpec } from '../target/stand-in-target.js'
-import { startProcess, type FleetProcess, type Preload } from './child.js'
+import { DAEMON_FLAGS, startProcess, type FleetProcess, type Preload } from './child.js'
 import type { LinkDelays, LinkPlan, Place } from './link-plan.js'
 import { runOperatorCommand } from './operator.js'
 import { freePort } from './ports.js'
@@ -146,9 +146,13 @@
   })
 }
 
+function startDaemon (folder: string, vmId: string, file: string, preload: Preload | undefined): FleetProcess {
+  return startProcess({ name: vmId, script: DAEMON, args: ['--config', file], logFile: join(folder, `${vmId}.log`), flags: DAEMON_FLAGS, preload })
+}
+
 function startControl (folder: string, all: ControlVm[], vm: ControlVm, preload: Preload | undefined): FleetControl {
   const file = writeControlSettings(folder, all, vm)
-  const start = () => startProcess(vm.vmId, DAEMON, ['--config', file], join(folder, `${vm.vmId}.log`), preload)
+  const start = () => startDaemon(folder, vm.vmId, file, preload)
   const control: FleetControl = {
     vm,
     process: start(),
@@ -176,10 +180,12 @@
 function startVm (folder: string, controls: ControlVm[], spec: VmSpec, vm: TargetVm, preload: Preload | undefined): FleetVm {
   const { vmId } = vm
   const file = writeNodeSettings(folder, controls, vm, spec.node)
-  const startNode = () => startProcess(vmId, DAEMON, ['--config', file], join(folder, `${vmId}.log`), preload)
+  const startNode = () => startDaemon(folder, vmId, file, preload)
   const startTarget = () => spec.target === undefined
     ? undefined
-    : startProcess(`${vmId}-target`, TARGET, [targetArgument(spec.target, vm)], join(folder, `${vmId}-target.log`))
+    : startProcess({
+      name: `${vmId}-target`, script: TARGET, args: [targetArgument(spec.target, vm)], logFile: join(folder, `${vmId}-target.log`)
+    })
   const url = `http://${HOST}:${vm.callerPort}`
   const targetUrl = `http://${HOST}:${vm.targetPort}`
   const running: FleetVm = {
