--- a/packages/lab/src/fleet/child.ts
+++ b/packages/lab/src/fleet/child.ts
@@ -22,7 +22,14 @@
 /** Flags with which the daemon is installed; a young generation of 2 MB instead of 16 MB saves a busy node about 25 MB. */
 export const DAEMON_FLAGS = ['--max-semi-space-size=2', '--max-old-space-size=256']
 
-export type ProcessOptions = { name: string, script: string, args: string[], logFile: string, flags?: string[], preload?: Preload | undefined }
+export type ProcessOptions = {
+  name: string
+  script: string
+  args: string[]
+  logFile: string
+  flags?: string[]
+  preload?: Preload | undefined
+}
 
 /** Starts a Node.js program; its output goes to `logFile`. */
 export function startProcess (options: ProcessOptions): FleetProcess {
