Keep a target's limit when it passes on the refusal of its own call

Cause: a 503 that a target passes on from a refused downstream call counted as load shedding by the target itself. Its limit fell (pump: 26 to 6..9 slots), so orders were refused there while the deep service ran browsing. Change: inbound calls note refused child calls; such an answer ends the permit as failed, which leaves the limit alone.

--- a/packages/node/src/calls/call-handler.ts
+++ b/packages/node/src/calls/call-handler.ts
@@ -165,6 +165,7 @@
       }
       case 'refused':
         noteReport(admitted, result.report)
+        if (admitted.origin.kind === 'child') admitted.origin.parent.childRefused()
         return refuse(req, res, root.requestId, result.refusal, result.attempts, result.report.regionBytes)
       case 'lost':
         noteReport(admitted, result.report)
--- a/packages/node/src/calls/executor.ts
+++ b/packages/node/src/calls/executor.ts
@@ -95,7 +95,7 @@
     })
     if (reply.kind === 'failed') return finishFailed({ call, deadline, self, permit, once, latencyMs, reply })
     const end = await passAnswer({ call, self, once, reply, report: () => reportOf(self) })
-    permit.release(endOf({ end, status: reply.status, latencyMs: latencyMs(), downstreamMs: self.downstreamMs() }, deadline))
+    permit.release(endOf({ end, status: reply.status, latencyMs: latencyMs(), self }, deadline))
   }
 
   const finishFailed = ({ call, deadline, self, permit, once, latencyMs, reply }: FailedCall) => {
@@ -257,11 +257,13 @@
   for (const part of held) await call.write(part)
 }
 
-type TargetEnd = { end: AnswerEnd, status: number, latencyMs: number, downstreamMs: number }
+type TargetEnd = { end: AnswerEnd, status: number, latencyMs: number, self: InboundCall }
 
-function endOf ({ end, status, latencyMs, downstreamMs }: TargetEnd, deadline: CallDeadline): CallEnd {
+function endOf ({ end, status, latencyMs, self }: TargetEnd, deadline: CallDeadline): CallEnd {
   if (deadline.signal.aborted) return { kind: 'cancelled', latencyMs }
   if (end === 'cut') return { kind: 'failed', latencyMs }
+  // A target that passes on the refusal of its own call is not overloaded itself; its limit must stay.
+  if (self.anyChildRefused() && status >= 400) return { kind: 'failed', latencyMs }
   if (status === 503 || status === 429) return { kind: 'targetShed', latencyMs }
-  return { kind: 'answered', latencyMs, downstreamMs }
+  return { kind: 'answered', latencyMs, downstreamMs: self.downstreamMs() }
 }
--- a/packages/node/src/calls/inbound-calls.ts
+++ b/packages/node/src/calls/inbound-calls.ts
@@ -15,6 +15,9 @@
   idempotencyKey: string | undefined
   /** Adds the report of a call that the target made on behalf of this one. */
   addChild: (report: Pick<CallReport, 'pathLevel' | 'regionBytes'>) => void
+  /** Tells that a call of the target was refused by a node. */
+  childRefused: () => void
+  anyChildRefused: () => boolean
   /** Tells that a call of the target began; the result tells that it ended. */
   childStarted: () => () => void
   /** Time during which at least one call of the target was open, in ms. */
@@ -53,6 +56,7 @@
     open: (facts) => {
       let level = 0
       let regionBytes = 0
+      let refusedChildren = 0
       let openChildren = 0
       let openedMs = 0
       let waitedMs = 0
@@ -63,6 +67,8 @@
           level = Math.max(level, report.pathLevel)
           regionBytes += report.regionBytes
         },
+        childRefused: () => { refusedChildren++ },
+        anyChildRefused: () => refusedChildren > 0,
         childStarted: () => {
           if (openChildren++ === 0) openedMs = nowMs()
           return () => { if (--openChildren === 0) waitedMs += nowMs() - openedMs }
