--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -1,6 +1,6 @@
 import {
   LEVEL_INTERVAL_MS, createRequestVerifier, notRun, systemClock, systemRandom,
-  type AskQuota, type Clock, type PeerAddress, type QuotaAsk, type Random, type Settings
+  type Clock, type PeerAddress, type Random, type Settings
 } from '@orioleslip/core'
 import { toAuthority } from '@orioleslip/control/client'
 import type { Logger } from 'pino'
@@ -20,6 +20,7 @@
 import { createLatencies } from './limits/latencies.js'
 import { listenForPeers } from './links/listener.js'
 import { createPeerPool } from './links/pool.js'
+import { createAnswers, createQuotaQuestion, createRetryQuestion } from './links/questions.js'
 import { createListsPoller } from './lists/poller.js'
 import { createTargetWatch } from './members/target-watch.js'
 import { joinMembership } from './membership.js'
@@ -29,7 +30,8 @@
 import { createInterRegionBudget } from './routing/inter-region-budget.js'
 import { createRouter } from './routing/router.js'
 import { startCallerServer } from './server/caller-server.js'
-import { createAvailability, LEAVE_SPREAD_MS, waitForOpenWork } from './server/drain.js'
+import { createAvailability } from './server/drain.js'
+import { createPlannedStop } from './server/planned-stop.js'
 import { createWellKnown } from './server/well-known.js'
 import { createLocalTarget, type Announcement } from './target/local-target.js'
 
@@ -49,8 +51,6 @@
   stop: () => Promise<void>
 }
 
-/** Longest wait at a planned stop for answers that the key register has not recorded yet, in ms. */
-const RECORD_PATIENCE_MS = 5000
 /** Period of load metrics, in ms. */
 const GAUGE_INTERVAL_MS = 1000
 
@@ -81,21 +81,10 @@
 
   const ledger = createRetryLedger({ clock, retryAllowance: cfg.retryAllowance })
   const quotas = cfg.overloadControl
-    ? createQuotas({ members, askQuota: (vmId, ask, timeoutMs) => askQuota(vmId, ask, timeoutMs), clock, vmId: vm.id })
+    ? createQuotas({ members, askQuota: createQuotaQuestion(() => pool, members), clock, vmId: vm.id })
     : openQuotas
-  const answerAsk = (kind: string, body: unknown): unknown => {
-    switch (kind) {
-      case 'retry': return ledger.take(String(body))
-      case 'quota': return quotas.answer(body as QuotaAsk)
-      default: return undefined
-    }
-  }
-  const pool = createPeerPool({ fleetKey, vmId: vm.id }, answerAsk)
-  const askQuota: AskQuota = async (vmId, ask, timeoutMs) => {
-    const owner = members.all().find((member) => member.record.vmId === vmId)?.record
-    if (owner === undefined) return undefined
-    return await pool.ask({ host: owner.host, port: owner.peerPort }, 'quota', ask, timeoutMs) as Awaited<ReturnType<AskQuota>>
-  }
+  const answers = createAnswers(ledger, quotas)
+  const pool = createPeerPool({ fleetKey, vmId: vm.id }, answers)
 
   const control = createControlCall({ controls: settings.controls, fleetKey, clock, random })
   const register = createRegisterClient(control.call)
@@ -106,15 +95,10 @@
   const listener = await listenForPeers({
     address: peerAddress,
     identity: { fleetKey, vmId: vm.id },
-    handlers: { onCall: executor.execute, onAsk: answerAsk },
+    handlers: { onCall: executor.execute, onAsk: answers },
     onRejected: (remote, message) => log.warn({ remote }, `peer connection rejected: ${message}`)
   })
-  const askRetry = createAskRetry({
-    clock,
-    self: peerAddress,
-    ledger,
-    send: async (address, requestId, timeoutMs) => await pool.ask(address, 'retry', requestId, timeoutMs) as boolean | undefined
-  })
+  const askRetry = createAskRetry({ clock, self: peerAddress, ledger, send: createRetryQuestion(pool) })
   const forwarder = createForwarder({
     self: members.self,
     router: createRouter({ members, clock, random }),
@@ -184,19 +168,21 @@
     pool.close()
     await Promise.all([server.drain(), listener.close(), poller.stop(), control.close()])
   }
-  const drain = async () => {
-    log.info('planned stop: the target is announced as leaving')
-    availability.stop()
+  const announceLeaving = () => {
     const announced = target.current()?.announcement
     if (announced !== undefined) watch.announce({ service: announced.service, capacity: announced.capacity, state: 'leaving' })
-    await clock.sleep(LEAVE_SPREAD_MS)
-    const left = await waitForOpenWork({ inbound, openRequests: handler.openRequests }, cfg.drainTimeoutS * 1000, clock)
-    if (left > 0) log.warn({ left, drainTimeoutS: cfg.drainTimeoutS }, 'the drain timeout has passed; calls in flight are cut; raise node.drainTimeoutS')
-    await Promise.race([guard.idle(), clock.sleep(RECORD_PATIENCE_MS)])
-    await members.leave()
-    await stop()
-    log.info('node stopped')
   }
+  const drain = createPlannedStop({
+    availability,
+    members,
+    openWork: { inbound, openRequests: handler.openRequests },
+    announceLeaving,
+    recordsWritten: guard.idle,
+    drainTimeoutS: cfg.drainTimeoutS,
+    clock,
+    log,
+    stop
+  })
   return { drain, stop }
 }
 
--- /dev/null
+++ b/packages/node/src/server/planned-stop.ts
@@ -0,0 +1,40 @@
+import type { Clock } from '@orioleslip/core'
+import type { Logger } from 'pino'
+import type { Members } from '../members/members.js'
+import { LEAVE_SPREAD_MS, waitForOpenWork, type Availability, type OpenWork } from './drain.js'
+
+export type PlannedStopOptions = {
+  availability: Availability
+  members: Members
+  openWork: OpenWork
+  /** Publishes the local target as leaving. */
+  announceLeaving: () => void
+  /** Resolves when the key register has every finished run. */
+  recordsWritten: () => Promise<void>
+  /** Longest wait for calls in flight, in s. */
+  drainTimeoutS: number
+  clock: Clock
+  log: Logger
+  /** Frees everything; calls still in flight are cut. */
+  stop: () => Promise<void>
+}
+
+/** Longest wait for runs that the key register has not recorded yet, in ms. */
+const RECORD_PATIENCE_MS = 5000
+
+/** Creates the planned stop of a node: no new work, calls in flight complete, then the node leaves the fleet. */
+export function createPlannedStop (options: PlannedStopOptions): () => Promise<void> {
+  const { availability, members, openWork, drainTimeoutS, clock, log } = options
+  return async () => {
+    log.info('planned stop: the target is announced as leaving')
+    availability.stop()
+    options.announceLeaving()
+    await clock.sleep(LEAVE_SPREAD_MS)
+    const left = await waitForOpenWork(openWork, drainTimeoutS * 1000, clock)
+    if (left > 0) log.warn({ left, drainTimeoutS }, 'the drain timeout has passed; calls in flight are cut; raise node.drainTimeoutS')
+    await Promise.race([options.recordsWritten(), clock.sleep(RECORD_PATIENCE_MS)])
+    await members.leave()
+    await options.stop()
+    log.info('node stopped')
+  }
+}
