--- a/packages/lab/src/fleet/child.ts
+++ b/packages/lab/src/fleet/child.ts
@@ -18,6 +18,8 @@
 const running = new Set<ChildProcess>()
 // A tool that ends early, by an exception or a closed pipe, must not leave its fleet behind.
 process.on('exit', () => { for (const child of running) child.kill('SIGKILL') })
+// Without a listener these signals end the process before its exit listeners run.
+for (const signal of ['SIGTERM', 'SIGINT'] as const) process.once(signal, () => process.exit(1))
 
 /** Flags with which the daemon is installed; a young generation of 2 MB instead of 16 MB saves a busy node about 25 MB. */
 export const DAEMON_FLAGS = ['--max-semi-space-size=2', '--max-old-space-size=256']
