Don't offer calls to a target of another region that sheds load

Change: the router leaves targets of other regions out for 5 s after they reported an admission level above 0.

--- a/packages/node/src/routing/router.ts
+++ b/packages/node/src/routing/router.ts
@@ -19,6 +19,8 @@
 const FULL_IN_REGION = 1
 const FULL_BEFORE_CROSSING = 1.5
 const FORGET_EVERY = 1024
+// Overload ends within seconds; a target in another region is offered work again after this time.
+const SHEDDING_MEMORY_MS = 5000
 
 /** Creates the router of this node. */
 export function createRouter (opts: { members: MembersView, clock: Clock, random: Random }): Router {
@@ -58,6 +60,11 @@
     const track = tracks.get(record.vmId)
     return track === undefined ? 0 : (loadOf(record) + 0.1) * (1 + penaltyOf(track)) - 0.1
   }
+  // A target that refuses work would refuse the offer too, and the bytes of the offer are paid for.
+  const isShedding = (record: MemberRecord): boolean => {
+    const track = tracks.get(record.vmId)
+    return track?.load !== undefined && track.load.level > 0 && clock.nowMs() - track.learntMs < SHEDDING_MEMORY_MS
+  }
   const twoChoices = (candidates: MemberRecord[]): MemberRecord => {
     const first = random.int(candidates.length)
     if (candidates.length === 1) return candidates[0]!
@@ -75,7 +82,8 @@
     const spareInRegion = spare(inRegion, FULL_BEFORE_CROSSING)
     if (spareInRegion.length > 0) return twoChoices(spareInRegion)
     if (mayCrossRegion) {
-      const spareAnywhere = spare(candidates.filter((record) => record.region !== self.region), FULL_IN_REGION)
+      const elsewhere = candidates.filter((record) => record.region !== self.region && !isShedding(record))
+      const spareAnywhere = spare(elsewhere, FULL_IN_REGION)
       if (spareAnywhere.length > 0) return twoChoices(spareAnywhere)
     }
     if (inRegion.length > 0) return twoChoices(inRegion)
--- a/packages/node/src/routing/routing.test.ts
+++ b/packages/node/src/routing/routing.test.ts
@@ -85,6 +85,21 @@
   t.deepEqual(Object.keys(share(50, false)).sort(), ['near', 'region'])
 })
 
+// Guards against paid bytes for offers that a shedding target refuses.
+test('a call does not cross regions to a target that sheds load', async (t) => {
+  const { clock, router, share } = createTestRouter([{ vmId: 'near' }, { vmId: 'far', region: 'r2' }])
+  router.learn('near', FULL)
+  t.deepEqual(share(10), { far: 10 })
+  router.learn('far', { level: 40, inFlight: 2, queued: 0, limit: 10 })
+  t.deepEqual(share(10), { near: 10 })
+  await clock.advance(4000)
+  router.learn('near', FULL)
+  t.deepEqual(share(10), { near: 10 })
+  await clock.advance(2000)
+  router.learn('near', FULL)
+  t.deepEqual(share(10), { far: 10 })
+})
+
 // Guards against retries that go to the VM that has just failed, and against wrong reasons for a missing route.
 test('excluded VMs are not chosen and missing routes are told apart', (t) => {
   const { router, share } = createTestRouter([{ vmId: 'a', region: 'r2' }])
