Refuse an order below the admission level before its key is claimed

Cause: the claim came before the gate, so each order that the gate refused cost the register a claim and a release; with the limits kept, orders at 10x reached the executors and the register saw some 1500 commands a second. Change: the executor compares the priority with its own level first; at or above it the order of steps stays as it was, since waiting for a key in progress must not hold a slot.

--- a/packages/node/src/calls/call-path.test.ts
+++ b/packages/node/src/calls/call-path.test.ts
@@ -2,6 +2,7 @@
 import { once } from 'node:events'
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
 import { connect, createServer as createTcpServer, type AddressInfo, type Server, type Socket } from 'node:net'
+import type { TargetGate } from '@orioleslip/core'
 import { request } from 'undici'
 import { startNodePair, unusedPort, type NodePair, type PairOptions } from '../testing/node-pair.js'
 
@@ -221,6 +222,21 @@
   t.is(runs, 1)
 })
 
+// Guards against a register that is flooded with claims of orders that the target can't take.
+test('an order below the admission level is refused before its key is claimed', async (t) => {
+  const load = () => ({ level: 192, inFlight: 10, queued: 9, limit: 10 })
+  const gate: TargetGate = { load, tick: () => {}, targetStarted: () => {}, enter: async () => { throw new Error('the gate was entered') } }
+  const pair = await httpTarget(t, (_req, res) => res.end('ran'), { gate })
+  const claimed: string[] = []
+  const { claim } = pair.register
+  pair.register.claim = (input) => {
+    claimed.push(input.key)
+    return claim(input)
+  }
+  const res = await call(pair, 'POST', '/shop/orders', orderHeaders(), '{}')
+  t.deepEqual([res.status, res.outcome, claimed.length], [503, 'not-run', 0])
+})
+
 // Guards against a refusal as not run while the executor still holds the order.
 test('an order whose link is cut gets the answer that its executor records', async (t) => {
   let runs = 0
--- a/packages/node/src/calls/executor.ts
+++ b/packages/node/src/calls/executor.ts
@@ -49,6 +49,11 @@
   const prepare = async (call: IncomingCall, deadline: CallDeadline): Promise<Prepared> => {
     const { head } = call
     if (head.once === undefined) return { kind: 'ready', body: undefined, once: undefined }
+    // A claim that the gate would refuse afterwards costs the register two quorum rounds, a claim and its release.
+    const { level } = gate.load()
+    if (head.root.priority < Math.floor(level)) {
+      return { kind: 'refused', refusal: notRun('overloaded', `calls of priority ${head.root.priority} are refused below level ${Math.ceil(level)}`, 1) }
+    }
     call.accept()
     const bytes = head.bodyBytes === 0 ? new Uint8Array(0) : await readAll(call.body, HASHED_BODY_LIMIT_BYTES)
     if (bytes === undefined) return { kind: 'refused', refusal: notRun('body-too-large', `the body exceeds ${HASHED_BODY_LIMIT_BYTES} bytes`) }
--- a/packages/node/src/testing/node-pair.ts
+++ b/packages/node/src/testing/node-pair.ts
@@ -1,7 +1,7 @@
 import { once } from 'node:events'
 import { createServer, type AddressInfo, type Server } from 'node:net'
 import {
-  createListsIndex, listsSchema, systemClock, systemRandom, type Lists, type MemberRecord, type RouteChoice
+  createListsIndex, listsSchema, systemClock, systemRandom, type Lists, type MemberRecord, type RouteChoice, type TargetGate
 } from '@orioleslip/core'
 import { createEntryAdmission } from '../admission/entry-admission.js'
 import { createTargetGate } from '../admission/target-gate.js'
@@ -59,6 +59,8 @@
   /** Region of the executor; the entry is in "r1". */
   executorRegion?: string
   lists?: Lists
+  /** Gate of the executor; the real one by default. */
+  gate?: TargetGate
 }
 
 /** An entry node and an executor node in this process, joined by a real peer link; membership, lists and register are fakes. */
@@ -71,7 +73,7 @@
   const executorMember = member('executor', options.executorRegion ?? 'r1', await unusedPort())
   const register = createFakeRegister()
 
-  const gate = createTargetGate({ clock })
+  const gate = options.gate ?? createTargetGate({ clock })
   const target = createLocalTarget(HOST)
   target.onStarted(gate.targetStarted)
   target.announce({ service: 'shop', port: options.targetPort, capacity: 10, state: 'ready', instance: 'i' })
