Remove the dangling export of the key caller

Cause: the module api/key-caller was removed, client.ts still exported from it, so the build failed.

--- a/packages/control/src/client.ts
+++ b/packages/control/src/client.ts
@@ -1,7 +1,6 @@
 // What clients of the control API need. It loads none of the server's modules, since nodes have little memory.
 export { callControl, createControlClient, type ControlCallError, type ControlClient, type ControlClientOptions } from './api/client.js'
 export { toAuthority } from './api/address.js'
-export { createKeyCaller, type KeyCaller } from './api/key-caller.js'
 export type { ControlRouter, InitAnswer } from './api/router.js'
 export type { EditAnswer, GetAnswer, HistoryEntry } from './api/operator-service.js'
 export type { SinceAnswer, SinceInput } from './api/node-service.js'
