Measure control at the design scale with simulated polls, members and key calls

Cause: 64 nodes are all that fit beside other work, the design names 770. Conclusion: the part of the polls can be measured directly instead of extrapolated.

--- a/packages/lab/src/bench-plans/main.ts
+++ b/packages/lab/src/bench-plans/main.ts
@@ -15,11 +15,26 @@
   .option('--poll-ms <n>', 'time between two readings of one node\'s revision', Number, 100)
   .option('--settle-seconds <n>', 'wait after the start', Number, 15)
   .option('--idle-seconds <n>', 'time of the idle measurement', Number, 20)
+  .option('--pollers <n>', 'connections that poll the control VMs as nodes do, beside the nodes', Number, 0)
+  .option('--extra-members <n>', 'members that only gossip, beside the nodes', Number, 0)
+  .option('--key-clients <n>', 'clients of the key register', Number, 0)
+  .option('--keys-per-second <n>', 'keys that all of them claim and finish per second', Number, 100)
   .option('--verbose', 'print the reports with all channels', false)
   .parse()
 const options = program.opts<{
-  sizes: string, seed: number, customers: number, edits: number, editIntervalMs: number, pollMs: number
-  settleSeconds: number, idleSeconds: number, verbose: boolean
+  sizes: string,
+  seed: number,
+  customers: number,
+  edits: number,
+  editIntervalMs: number,
+  pollMs: number
+  settleSeconds: number,
+  idleSeconds: number,
+  pollers: number,
+  extraMembers: number,
+  keyClients: number,
+  keysPerSecond: number,
+  verbose: boolean
 }>()
 
 const sizes = options.sizes.split(',').map(Number)
@@ -48,6 +63,10 @@
   missing: rows.reduce((sum, row) => sum + row['inForceMissing']!, 0),
   seed: options.seed,
   customers: options.customers,
+  pollers: reports.at(-1)!.pollers,
+  keys: reports.at(-1)!.keys,
+  extraMembers: options.extraMembers,
+  aliveMembers: reports.at(-1)!.aliveMembers,
   slopes: fitRows(rows),
   rows
 }))
--- a/packages/lab/src/bench-plans/meter.ts
+++ b/packages/lab/src/bench-plans/meter.ts
@@ -43,7 +43,8 @@
   const cpu = pairs.map(({ from, to, seconds }) => (to.cpuSeconds - from.cpuSeconds) / seconds * 100)
   const rss = after.map(({ pid }) => memoryMb(pid, 'VmRSS'))
   const ofChannel = (channel: Channel) => {
-    const per = (field: keyof Counts) => mean(pairs.map(({ from, to, seconds }) => (to.counts[channel][field] - from.counts[channel][field]) / seconds))
+    const per = (field: keyof Counts) => mean(pairs.map(({ from, to, seconds }) =>
+      (to.counts[channel][field] - from.counts[channel][field]) / seconds))
     // A received TCP message shows at the sender only; each poll has one answer, and peers send each other the same amount.
     const messagesPerSecond = channel === 'gossip' ? per('messagesIn') + per('messagesOut') : 2 * per('messagesOut')
     return { bytesPerSecond: per('bytesIn') + per('bytesOut'), messagesPerSecond, connections: mean(after.map(({ counts }) => counts[channel].connections)) }
--- a/packages/lab/src/bench-plans/revisions.ts
+++ b/packages/lab/src/bench-plans/revisions.ts
@@ -26,21 +26,26 @@
   }
 }
 
+/** One sighting for each revision after `from`, up to `to`: several can come in one answer. */
+export function newRevisions (node: string, from: number, to: number, atMs: number): Sighting[] {
+  return Array.from({ length: Math.max(0, to - from) }, (_, i) => ({ node, revision: from + 1 + i, atMs }))
+}
+
 /** Reads the revision of each node all the time; `reverted` counts readings below an earlier one. */
 export function watchRevisions (vms: readonly FleetVm[], intervalMs: number): RevisionWatch {
   const sightings: Sighting[] = []
   let reverted = 0
   let polls = 0
-  let stopped = false
+  const stopping = new AbortController()
   const watch = async (vm: FleetVm) => {
     let highest = -1
-    while (!stopped) {
+    while (!stopping.signal.aborted) {
       const state = await nodeState(vm)
       const atMs = Date.now()
       if (state !== undefined) {
         polls++
         if (state.revision < highest) reverted++
-        for (let revision = highest + 1; highest >= 0 && revision <= state.revision; revision++) sightings.push({ node: vm.vm.vmId, revision, atMs })
+        if (highest >= 0) sightings.push(...newRevisions(vm.vm.vmId, highest, state.revision, atMs))
         highest = Math.max(highest, state.revision)
       }
       await new Promise((resolve) => setTimeout(resolve, intervalMs))
@@ -52,7 +57,7 @@
     get reverted () { return reverted },
     get polls () { return polls },
     stop: async () => {
-      stopped = true
+      stopping.abort()
       await Promise.all(watches)
     }
   }
@@ -68,8 +73,7 @@
       if (!line.includes('"Lists in effect"')) continue
       const { time, revision } = JSON.parse(line) as { time: number, revision: number }
       if (revision <= highest) reverted++
-      // One log line can stand for several revisions that came in one answer.
-      for (let each = highest < 0 ? revision : highest + 1; each <= revision; each++) sightings.push({ node: vmId, revision: each, atMs: time })
+      sightings.push(...newRevisions(vmId, highest < 0 ? revision - 1 : highest, revision, time))
       highest = Math.max(highest, revision)
     }
   }
--- a/packages/lab/src/bench-plans/run-size.ts
+++ b/packages/lab/src/bench-plans/run-size.ts
@@ -4,8 +4,11 @@
 import { systemClock, type Random } from '@orioleslip/core'
 import { startFleet, waitUntil, type Fleet, type FleetSpec } from '../fleet/fleet.js'
 import { benchLists, createEditor, type AcceptedEdit } from './editor.js'
+import { startExtraMembers } from './extra-members.js'
 import { round } from './figures.js'
+import { startKeyClients, type KeyLoad } from './key-clients.js'
 import { measureUse, type Use } from './meter.js'
+import { startPollers } from './pollers.js'
 import { measureRecovery, type Recovery } from './recovery.js'
 import { inForce, loggedRevisions, nodeState, watchRevisions, type InForce } from './revisions.js'
 
@@ -17,6 +20,13 @@
   edits: number
   editIntervalMs: number
   pollMs: number
+  /** Connections that poll as nodes do, beside the nodes; 0 for none. */
+  pollers: number
+  /** Members that only gossip, beside the nodes; 0 for none. */
+  extraMembers: number
+  /** Clients of the key register and the keys that they claim per second in all; 0 for none. */
+  keyClients: number
+  keysPerSecond: number
   random: Random
   log: (line: string) => void
 }
@@ -35,6 +45,10 @@
   edits: Use
   editCount: number
   recovery: Recovery
+  pollers?: InForce & { failures: number }
+  keys?: KeyLoad
+  /** Members that each node saw as alive before the idle measurement and after the edits; with extra members only. */
+  aliveMembers?: { before: number[], after: number[] }
 }
 
 const DOMAINS = [['r1', 'r1-a'], ['r1', 'r1-b'], ['r1', 'r1-c'], ['r2', 'r2-a'], ['r2', 'r2-b']] as const
@@ -60,6 +74,10 @@
   }, IN_FORCE_LIMIT_MS).catch(() => {})
 }
 
+async function aliveMembers (fleet: Fleet): Promise<number[]> {
+  return Promise.all(fleet.vms.map(async (vm) => (await vm.members()).filter((member) => member.liveness === 'alive').length))
+}
+
 /** Starts a fleet of one size and measures it idle, with edits, and through the loss of its control VMs. */
 export async function runSize (options: SizeOptions): Promise<SizeReport> {
   const { nodes, customers, random, log } = options
@@ -81,8 +99,13 @@
     }
     return accepted
   }
+  let extra: Awaited<ReturnType<typeof startExtraMembers>> | undefined
   try {
+    const pollers = options.pollers === 0 ? undefined : await startPollers(fleet, options.pollers, random)
+    extra = options.extraMembers === 0 ? undefined : await startExtraMembers(fleet, options.extraMembers)
     await systemClock.sleep(options.settleSeconds * 1000)
+    const known = options.extraMembers === 0 ? undefined : await aliveMembers(fleet)
+    const keyClients = options.keyClients === 0 ? undefined : startKeyClients(fleet, options.keyClients, options.keysPerSecond, random)
     const idle = await measureUse(fleet, counterFolder, () => systemClock.sleep(options.idleSeconds * 1000))
     let quiet: AcceptedEdit[] = []
     const edits = await measureUse(fleet, counterFolder, async () => { quiet = await makeEdits(options.edits) })
@@ -93,6 +116,9 @@
     await waitForAll(fleet, watched.at(-1)?.revision ?? 0)
     await systemClock.sleep(options.pollMs * 5)
     const logged = loggedRevisions(fleet)
+    const knownAfter = known === undefined ? undefined : await aliveMembers(fleet)
+    const keys = await keyClients?.stop()
+    await pollers?.stop()
     log(`${nodes} nodes: idle and edits measured, load ${idle.machine.loadAverage1m}; killing control VMs`)
     await watch.stop()
     const recovery = await measureRecovery(fleet, editor)
@@ -101,16 +127,20 @@
       startSeconds,
       inForce: inForce(watched, watch.sightings, nodes),
       inForceLogged: inForce(quiet, logged.sightings, nodes),
-      reverted: watch.reverted + logged.reverted + recovery.lostRevisions,
+      reverted: watch.reverted + logged.reverted + (pollers?.reverted ?? 0) + recovery.lostRevisions,
       readings: watch.polls,
       acceptP50Ms: quiet.map((edit) => edit.acceptedMs - edit.sentMs).sort((a, b) => a - b)[Math.floor(quiet.length / 2)] ?? NaN,
       idle,
       edits,
       editCount: quiet.length,
-      recovery
+      recovery,
+      ...(pollers === undefined ? {} : { pollers: { ...inForce(quiet, pollers.sightings, options.pollers), failures: pollers.failures } }),
+      ...(keys === undefined ? {} : { keys }),
+      ...(known === undefined ? {} : { aliveMembers: { before: known, after: knownAfter ?? [] } })
     }
   } finally {
     await editor.close()
+    await extra?.stop()
     await fleet.stop()
     rmSync(counterFolder, { recursive: true, force: true })
   }
