--- a/packages/lab/src/bench-plans/meter.ts
+++ b/packages/lab/src/bench-plans/meter.ts
@@ -62,6 +62,13 @@
   }
 }
 
+/** Memory of the nodes at this moment, in MB. */
+export function nodeMemory (fleet: Fleet): { rssMb: number, rssMbMax: number, anonMb: number } {
+  const pids = fleet.vms.map(({ node }) => node.pid)
+  const rss = pids.map((pid) => memoryMb(pid, 'VmRSS'))
+  return { rssMb: mean(rss), rssMbMax: Math.max(...rss), anonMb: mean(pids.map((pid) => memoryMb(pid, 'RssAnon'))) }
+}
+
 /** Measures all processes of a fleet while `run` runs. */
 export async function measureUse (fleet: Fleet, counterFolder: string, run: () => Promise<void>): Promise<Use> {
   const ports = portsOf(fleet)
--- a/packages/lab/src/bench-plans/run-size.ts
+++ b/packages/lab/src/bench-plans/run-size.ts
@@ -7,7 +7,7 @@
 import { startExtraMembers } from './extra-members.js'
 import { round } from './figures.js'
 import { startKeyClients, type KeyLoad } from './key-clients.js'
-import { measureUse, type Use } from './meter.js'
+import { measureUse, nodeMemory, type Use } from './meter.js'
 import { startPollers } from './pollers.js'
 import { measureRecovery, type Recovery } from './recovery.js'
 import { inForce, loggedRevisions, nodeState, watchRevisions, type InForce } from './revisions.js'
@@ -44,6 +44,8 @@
   idle: Use
   edits: Use
   editCount: number
+  /** Memory of the nodes after the second edit phase, in which their state was read as well. */
+  memoryAfter: ReturnType<typeof nodeMemory>
   recovery: Recovery
   pollers?: InForce & { failures: number }
   keys?: KeyLoad
@@ -115,6 +117,7 @@
     const watched = await makeEdits(options.edits)
     await waitForAll(fleet, watched.at(-1)?.revision ?? 0)
     await systemClock.sleep(options.pollMs * 5)
+    const memoryAfter = nodeMemory(fleet)
     const logged = loggedRevisions(fleet)
     const knownAfter = known === undefined ? undefined : await aliveMembers(fleet)
     const keys = await keyClients?.stop()
@@ -133,6 +136,7 @@
       idle,
       edits,
       editCount: quiet.length,
+      memoryAfter,
       recovery,
       ...(pollers === undefined ? {} : { pollers: { ...inForce(quiet, pollers.sightings, options.pollers), failures: pollers.failures } }),
       ...(keys === undefined ? {} : { keys }),
