--- a/packages/lab/src/bench-plans/extra-members.ts
+++ b/packages/lab/src/bench-plans/extra-members.ts
@@ -17,7 +17,8 @@
     controls: fleet.controls.map(({ vm: { region: _region, ...peer } }) => peer), fleetKey: FLEET_KEY, host: HOST, members: []
   }))
   for (let i = 0; i < count; i++) batches[i % batches.length]!.members.push({ index: i, gossipPort: await freePort() })
-  const processes = batches.map((batch, i): FleetProcess =>
-    startProcess(`members-${i}`, MAIN, [JSON.stringify(batch)], join(fleet.folder, `members-${i}.log`)))
+  const processes = batches.map((batch, i): FleetProcess => startProcess({
+    name: `members-${i}`, script: MAIN, args: [JSON.stringify(batch)], logFile: join(fleet.folder, `members-${i}.log`)
+  }))
   return { stop: async () => { await Promise.all(processes.map((process) => process.stop('SIGKILL'))) } }
 }
