Close callers' connections gracefully at the end of a planned stop

Cause: refusals of a stopping node left their connection open, and the node cut all connections at the end of the drain, also those of requests that had arrived while it left the membership. A request sent at that moment ended as a reset, so its caller could not know that it had not run.

Change: every response of a stopping node closes its connection, and the drain waits up to 1 s for the requests that are being refused.

Conclusion: a client that honours Connection: close has left before the process ends. An idle connection can still close as its client writes.

--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -51,6 +51,8 @@
 
 /** Longest wait at a planned stop for answers that the key register has not recorded yet, in ms. */
 const RECORD_PATIENCE_MS = 5000
+/** Longest wait at a planned stop for requests that arrived while the node left the membership, in ms. */
+const CLOSE_PATIENCE_MS = 1000
 /** Period of load metrics, in ms. */
 const GAUGE_INTERVAL_MS = 1000
 
@@ -166,7 +168,7 @@
       inFlight: inbound.size()
     })
   })
-  const server = await startCallerServer({ host: vm.address, port: cfg.callerPort }, handler.handle, wellKnown)
+  const server = await startCallerServer({ host: vm.address, port: cfg.callerPort }, handler.handle, wellKnown, availability.stopping)
   const timers = [
     setInterval(gate.tick, LEVEL_INTERVAL_MS),
     setInterval(() => reportGauges(metrics, gate.load()), GAUGE_INTERVAL_MS)
@@ -194,6 +196,8 @@
     if (left > 0) log.warn({ left, drainTimeoutS: cfg.drainTimeoutS }, 'the drain timeout has passed; calls in flight are cut; raise node.drainTimeoutS')
     await Promise.race([guard.idle(), clock.sleep(RECORD_PATIENCE_MS)])
     await members.leave()
+    // Requests that came since are being refused; cutting them would hide from callers that they did not run.
+    await Promise.race([server.drain(), clock.sleep(CLOSE_PATIENCE_MS)])
     await stop()
     log.info('node stopped')
   }
--- a/packages/node/src/server/caller-server.ts
+++ b/packages/node/src/server/caller-server.ts
@@ -14,11 +14,15 @@
 const KEEP_ALIVE_MS = 65_000
 const HEADERS_TIMEOUT_MS = 10_000
 
-/** Serves callers and the local target; rejects when the port can't be opened. */
+/**
+ * Serves callers and the local target; rejects when the port can't be opened. While `stopping` is true every response closes its
+ * connection, refusals included: a client that keeps a connection until the process ends loses the request it sends at that moment.
+ */
 export async function startCallerServer (
-  address: PeerAddress, onCall: RequestListener, onWellKnown: RequestListener
+  address: PeerAddress, onCall: RequestListener, onWellKnown: RequestListener, stopping: () => boolean = () => false
 ): Promise<CallerServer> {
   const listener = (req: IncomingMessage, res: ServerResponse) => {
+    if (stopping()) res.shouldKeepAlive = false
     const handle = req.url?.startsWith(WELL_KNOWN_PREFIX) === true ? onWellKnown : onCall
     handle(req, res).catch(() => res.destroy())
   }
