Read on for a moment when an upload is refused

Cause: a refusal of a large upload closed the connection while body bytes arrived. The reset can reach the client before it has read the refusal.

Change: the node sends the refusal, then reads and drops the body for up to 1 s before it closes the connection.

Conclusion: the client sees the refusal and can send the upload elsewhere.

--- a/packages/node/src/calls/answer-writer.ts
+++ b/packages/node/src/calls/answer-writer.ts
@@ -5,6 +5,9 @@
 import type { CallFinish } from '../links/outgoing-call.js'
 import { BUFFERED_BODY_LIMIT_BYTES } from './request-body.js'
 
+/** Longest time for which the body of a refused request is read and dropped, in ms. */
+const LINGER_MS = 1000
+
 /** Writes a refusal as a problem document. */
 export function writeRefusal (req: IncomingMessage, res: ServerResponse, refusal: Refusal, requestId: string): void {
   if (res.destroyed || res.headersSent) {
@@ -18,9 +21,22 @@
   ]
   if (refusal.retryAfterS !== undefined) headers.push(HEADERS.retryAfter, String(Math.max(1, Math.ceil(refusal.retryAfterS))))
   // Reading a large unwanted body to its end would cost more than a new connection.
-  if (!req.complete && Number(req.headers['content-length'] ?? Infinity) > BUFFERED_BODY_LIMIT_BYTES) headers.push('connection', 'close')
+  const unread = !req.complete && Number(req.headers['content-length'] ?? Infinity) > BUFFERED_BODY_LIMIT_BYTES
+  if (unread) headers.push('connection', 'close')
   res.writeHead(REFUSALS[refusal.code].status, headers)
-  res.end(body)
+  if (!unread) {
+    res.end(body)
+    return
+  }
+  // Closing while body bytes arrive resets the connection, and the client may lose the refusal that it has not read yet.
+  res.write(body)
+  const end = () => {
+    clearTimeout(timer)
+    res.end()
+  }
+  const timer = setTimeout(end, LINGER_MS)
+  req.once('close', end)
+  req.resume()
 }
 
 /** Passes an answer on; an answer that breaks off destroys the caller's connection, so that it can't look complete. */
