--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -150,7 +150,7 @@
       inFlight: inbound.size()
     })
   })
-  const server = await startCallerServer({ host: vm.address, port: cfg.callerPort }, handler.handle, wellKnown)
+  const server = await startCallerServer({ host: vm.address, port: cfg.callerPort }, handler.handle, wellKnown, availability.stopping)
   const timers = [
     setInterval(gate.tick, LEVEL_INTERVAL_MS),
     setInterval(() => reportGauges(metrics, gate.load()), GAUGE_INTERVAL_MS)
@@ -178,6 +178,7 @@
     openWork: { inbound, openRequests: handler.openRequests },
     announceLeaving,
     recordsWritten: guard.idle,
+    requestsEnded: server.drain,
     drainTimeoutS: cfg.drainTimeoutS,
     clock,
     log,
--- a/packages/node/src/server/planned-stop.ts
+++ b/packages/node/src/server/planned-stop.ts
@@ -11,6 +11,8 @@
   announceLeaving: () => void
   /** Resolves when the key register has every finished run. */
   recordsWritten: () => Promise<void>
+  /** Stops accepting callers; resolves when their open requests have ended. */
+  requestsEnded: () => Promise<void>
   /** Longest wait for calls in flight, in s. */
   drainTimeoutS: number
   clock: Clock
@@ -21,6 +23,8 @@
 
 /** Longest wait for runs that the key register has not recorded yet, in ms. */
 const RECORD_PATIENCE_MS = 5000
+/** Longest wait for requests that arrived while the node left the membership, in ms. */
+const CLOSE_PATIENCE_MS = 1000
 
 /** Creates the planned stop of a node: no new work, calls in flight complete, then the node leaves the fleet. */
 export function createPlannedStop (options: PlannedStopOptions): () => Promise<void> {
@@ -34,6 +38,8 @@
     if (left > 0) log.warn({ left, drainTimeoutS }, 'the drain timeout has passed; calls in flight are cut; raise node.drainTimeoutS')
     await Promise.race([options.recordsWritten(), clock.sleep(RECORD_PATIENCE_MS)])
     await members.leave()
+    // Requests that came since are being refused; cutting them would hide from callers that they did not run.
+    await Promise.race([options.requestsEnded(), clock.sleep(CLOSE_PATIENCE_MS)])
     await options.stop()
     log.info('node stopped')
   }
