Wait for the ramp of the target before the latency benchmark

Cause: the warm-up with 100 callers met a target in its first seconds, and a refusal ended the benchmark. Change: one caller runs for 11 s first. Measurement: with 1, 25 and 100 callers the program ended with 'through call answered 503' before.

--- a/packages/lab/src/bench/latency-main.ts
+++ b/packages/lab/src/bench/latency-main.ts
@@ -15,6 +15,7 @@
 const options = program.opts<{ seed: number, runs: number, seconds: number, chains: string }>()
 
 const WARM_UP_MS = 1500
+const RAMP_MS = 11_000
 const CLOCK_TICKS_PER_S = 100
 
 function spec (): FleetSpec {
@@ -105,6 +106,8 @@
   const through: Route = { name: 'through', origin: fleet.vms[0]!.url, path: '/echo/echo', headers: { [HEADERS.customer]: 'bench' } }
   await closeTo(direct.origin)
   const callerCounts = options.chains.split(',').map(Number)
+  // A new target takes its full load only after the ramp; more callers would be refused before.
+  await measure(through, 1, RAMP_MS)
   for (const route of [direct, through]) await measure(route, Math.max(...callerCounts), WARM_UP_MS)
   const random = createSeededRandom(options.seed)
   const samples: Sample[] = []
