Record priority, level and operation of requests refused at their entry

Cause: 'orioleslip explain' showed priority 0 and level 0 for each request refused by admission or by its rate. Change: admit returns a Result whose error carries the root context once it is known; the refusal uses its request id. Measurement: the new test fails without the change (opKey was 'POST shop /orders' only by accident of the path, priority 0); 22 tests of calls pass.

--- a/packages/node/src/calls/call-handler.ts
+++ b/packages/node/src/calls/call-handler.ts
@@ -4,6 +4,7 @@
   type Clock, type EntryAdmission, type ListsIndex, type MemberRecord, type Operation, type Plan, type Quotas, type Refusal,
   type RetryLedger, type RootContext
 } from '@orioleslip/core'
+import { err, ok, type Result } from 'neverthrow'
 import type { LostCall, LostCallVerdict } from '../idempotency/lost-call.js'
 import { writeAnswer, writeRefusal } from './answer-writer.js'
 import { startDeadline, type CallDeadline } from './call-deadline.js'
@@ -45,6 +46,9 @@
   | { kind: 'entry', root: RootContext, plan: Plan }
   | { kind: 'child', root: RootContext, parent: InboundCall }
 
+/** A request refused before it was forwarded; `root` is known once its operation has been looked up. */
+type Rejection = { refusal: Refusal, root?: RootContext }
+
 type Admitted = { origin: Origin, opKey: string, op: Operation | undefined, onceKey: ForwardRequest['onceKey'] }
 
 /** How a request ended, for records and metrics. */
@@ -81,30 +85,30 @@
   }
 
   /** Decides on a request before any work is spent on it. */
-  const admit = async (parsed: ParsedRequest): Promise<Admitted | Refusal> => {
+  const admit = async (parsed: ParsedRequest): Promise<Result<Admitted, Rejection>> => {
     const index = lists()
-    if (index === undefined) return notRun('lists-unconfirmed', 'no control VM has confirmed the lists since this node started', 1)
+    if (index === undefined) return err({ refusal: notRun('lists-unconfirmed', 'no control VM has confirmed the lists since this node started', 1) })
     const parent = findParent(parsed)
-    if (parent !== undefined && 'code' in parent) return parent
+    if (parent !== undefined && 'code' in parent) return err({ refusal: parent })
     const closed = parent === undefined ? options.closed() : undefined
-    if (closed !== undefined) return closed
+    if (closed !== undefined) return err({ refusal: closed })
     const customer = parent?.root.customer ?? parsed.customer
-    if (customer === undefined) return notRun('customer-missing', 'the request names no customer and belongs to no open call')
+    if (customer === undefined) return err({ refusal: notRun('customer-missing', 'the request names no customer and belongs to no open call') })
     const found = index.lookup(customer, parsed.service, parsed.method, parsed.pathname)
-    if (found.kind === 'customerUnknown') return notRun('customer-unknown', `customer "${customer}" is not in the customers list of revision ${index.revision}`)
+    if (found.kind === 'customerUnknown') return err({ refusal: notRun('customer-unknown', `customer "${customer}" is not in the customers list of revision ${index.revision}`) })
     if (found.kind === 'unlistedUnsafe') {
-      return notRun('operation-not-listed', `plan "${found.planName}" does not list ${parsed.method} ${parsed.pathname} of "${parsed.service}"`)
+      return err({ refusal: notRun('operation-not-listed', `plan "${found.planName}" does not list ${parsed.method} ${parsed.pathname} of "${parsed.service}"`) })
     }
     const op = found.kind === 'listed' ? found.op : undefined
     const onceKey = op?.repeatable === false ? parsed.idempotencyKey : undefined
-    if (op?.repeatable === false && onceKey === undefined) return notRun('key-required', `${parsed.method} ${parsed.pathname} may not be repeated`)
-    if (parent !== undefined) return { origin: { kind: 'child', root: parent.root, parent }, opKey: found.opKey, op, onceKey }
+    if (op?.repeatable === false && onceKey === undefined) return err({ refusal: notRun('key-required', `${parsed.method} ${parsed.pathname} may not be repeated`) })
+    if (parent !== undefined) return ok({ origin: { kind: 'child', root: parent.root, parent }, opKey: found.opKey, op, onceKey })
 
     const root = newRoot(parsed, customer, found.opKey, op)
     const refusal = admission.judge(found.opKey, root.priority) ?? await takeQuota(customer, found.plan)
-    if (refusal !== undefined) return refusal
+    if (refusal !== undefined) return err({ refusal, root })
     ledger.open(root, parsed.idempotencyKey)
-    return { origin: { kind: 'entry', root, plan: found.plan }, opKey: found.opKey, op, onceKey }
+    return ok({ origin: { kind: 'entry', root, plan: found.plan }, opKey: found.opKey, op, onceKey })
   }
 
   const takeQuota = async (customer: string, plan: Plan): Promise<Refusal | undefined> => {
@@ -218,21 +222,21 @@
     })
   }
 
-  const noteRefused = (parsed: ParsedRequest, requestId: string, refusal: Refusal) => {
+  const noteRejected = (parsed: ParsedRequest, requestId: string, { refusal, root }: Rejection) => {
     stats.requestEnded({ entry: true, service: parsed.service, status: 0, refusal: refusal.code, durationMs: 0, regionBytes: 0 })
     records.add({
       requestId,
-      traceId: parsed.trace?.traceId ?? '',
+      traceId: root?.traceId ?? parsed.trace?.traceId ?? '',
       wallMs: clock.wallMs(),
       customer: parsed.customer ?? '',
       service: parsed.service,
-      opKey: `${parsed.method} ${parsed.service} ${parsed.pathname}`,
-      priority: 0,
+      opKey: root?.entryOpKey ?? `${parsed.method} ${parsed.service} ${parsed.pathname}`,
+      priority: root?.priority ?? 0,
       entry: true,
       status: 0,
       outcome: refusal.outcome,
       detail: `${refusal.code}: ${refusal.detail}`,
-      admissionLevel: 0,
+      admissionLevel: root === undefined ? 0 : admission.level(root.entryOpKey),
       attempts: [],
       durationMs: 0,
       regionBytes: 0
@@ -243,12 +247,13 @@
     const startedMs = clock.nowMs()
     const parsed = parseRequest(req)
     if (parsed.isErr()) return writeRefusal(req, res, parsed.error, newTraceId())
-    const admitted = await admit(parsed.value)
-    if ('code' in admitted) {
-      const requestId = newTraceId()
-      noteRefused(parsed.value, requestId, admitted)
-      return writeRefusal(req, res, admitted, requestId)
+    const decided = await admit(parsed.value)
+    if (decided.isErr()) {
+      const requestId = decided.error.root?.requestId ?? newTraceId()
+      noteRejected(parsed.value, requestId, decided.error)
+      return writeRefusal(req, res, decided.error.refusal, requestId)
     }
+    const admitted = decided.value
     const gone = new AbortController()
     res.on('close', () => { if (!res.writableFinished) gone.abort() })
     const deadline = deadlineOf(parsed.value, admitted, gone.signal)
@@ -258,8 +263,8 @@
     let ending: Ending
     try {
       ending = await serve(req, res, parsed.value, admitted, deadline)
-    } catch (err) {
-      ending = refuse(req, res, root.requestId, unknownOutcome('internal-error', err instanceof Error ? err.message : String(err)), [], 0)
+    } catch (cause) {
+      ending = refuse(req, res, root.requestId, unknownOutcome('internal-error', cause instanceof Error ? cause.message : String(cause)), [], 0)
     }
     deadline.done()
     childEnded?.()
--- a/packages/node/src/calls/call-path.test.ts
+++ b/packages/node/src/calls/call-path.test.ts
@@ -103,6 +103,16 @@
   t.is((await call(pair, 'GET', '/shop/items/1')).text, 'ok')
 })
 
+// Guards against an explanation that shows priority 0 for every request refused at its entry.
+test('the record of a request over its rate has the priority and operation that were decided on', async (t) => {
+  const pair = await httpTarget(t, (_req, res) => res.end('ok'), { quota: { kind: 'exceeded', retryAfterS: 2 } })
+  const res = await call(pair, 'POST', '/shop/orders', orderHeaders(), '{}')
+  t.deepEqual([res.status, res.headers['retry-after']], [429, '2'])
+  const [record] = pair.records.find(problemOf(res).requestId)
+  t.is(record?.opKey, 'POST shop /orders')
+  t.true(record!.priority >= 128 && record!.priority < 192)
+})
+
 test('a connection that the target refuses is not run', async (t) => {
   const pair = await startNodePair({ targetPort: await unusedPort() })
   t.teardown(pair.stop)
--- a/packages/node/src/testing/node-pair.ts
+++ b/packages/node/src/testing/node-pair.ts
@@ -1,7 +1,8 @@
 import { once } from 'node:events'
 import { createServer, type AddressInfo, type Server } from 'node:net'
 import {
-  createListsIndex, listsSchema, systemClock, systemRandom, type Lists, type MemberRecord, type RouteChoice, type TargetGate
+  createListsIndex, listsSchema, systemClock, systemRandom, type Lists, type MemberRecord, type QuotaVerdict, type RouteChoice,
+  type TargetGate
 } from '@orioleslip/core'
 import { createEntryAdmission } from '../admission/entry-admission.js'
 import { createTargetGate } from '../admission/target-gate.js'
@@ -59,6 +60,8 @@
   /** Region of the executor; the entry is in "r1". */
   executorRegion?: string
   lists?: Lists
+  /** What the quotas say to each request; granted by default. */
+  quota?: QuotaVerdict
   /** Gate of the executor; the real one by default. */
   gate?: TargetGate
 }
@@ -119,7 +122,7 @@
     lists: () => index,
     closed: () => undefined,
     admission: createEntryAdmission({ clock, random: systemRandom }),
-    quotas: { take: () => ({ kind: 'granted' }), answer: () => ({ tokens: 0, validMs: 0 }) },
+    quotas: { take: () => options.quota ?? { kind: 'granted' }, answer: () => ({ tokens: 0, validMs: 0 }) },
     ledger,
     inbound: createInboundCalls(clock.nowMs),
     forwarder,
