Share the opening of ports and remove fields that nobody reads

Cause: read-through of the whole change. listen() stood in the peer listener and in the caller server; each call head carried 'repeatable' over the wire although no receiver reads it; the inbound call's key, the answer's cancel and the pool's count of open calls had no reader; two tests wrote the same dying target. Change: net/listen.ts serves both; the unread fields are gone; the tests share dyingTarget. Assertions are as they were. Conclusion: no change of behaviour; a call head is a few bytes shorter.

--- a/packages/node/src/calls/call-path.test.ts
+++ b/packages/node/src/calls/call-path.test.ts
@@ -34,6 +34,13 @@
     })
   }), options)
 
+/** A target that closes the connection once it has a request's head. */
+const dyingTarget = (t: ExecutionContext, onRequest: () => void) => tcpTarget(t, (socket, text) => {
+  if (!text.includes('\r\n\r\n')) return
+  onRequest()
+  socket.destroy()
+}, { retryAllowance: 2 })
+
 async function call (pair: NodePair, method: 'GET' | 'POST' | 'PUT', path: string, headers: Record<string, string> = CUSTOMER, body?: string) {
   const res = await request(`${pair.url}${path}`, { method, headers, ...(body === undefined ? {} : { body }) })
   const text = await res.body.text()
@@ -138,11 +145,7 @@
 // Guards against a second run after the target died with the order in hand.
 test('an order whose target dies after the dispatch is unknown and never runs again', async (t) => {
   let runs = 0
-  const pair = await tcpTarget(t, (socket, text) => {
-    if (!text.includes('\r\n\r\n')) return
-    runs++
-    socket.destroy()
-  }, { retryAllowance: 2 })
+  const pair = await dyingTarget(t, () => { runs++ })
   const headers = orderHeaders()
   const first = await call(pair, 'POST', '/shop/orders', headers, '{}')
   t.deepEqual([first.status, first.outcome], [502, 'unknown'])
@@ -153,11 +156,7 @@
 
 test('a repeatable read is retried within the allowance and no further', async (t) => {
   let runs = 0
-  const pair = await tcpTarget(t, (socket, text) => {
-    if (!text.includes('\r\n\r\n')) return
-    runs++
-    socket.destroy()
-  }, { retryAllowance: 2 })
+  const pair = await dyingTarget(t, () => { runs++ })
   const res = await call(pair, 'GET', '/shop/items/1')
   t.deepEqual([res.status, res.outcome], [502, 'unknown'])
   t.is(runs, 3)
--- a/packages/node/src/calls/executor.ts
+++ b/packages/node/src/calls/executor.ts
@@ -120,8 +120,7 @@
         root: call.head.root,
         traceFlags: call.head.traceFlags,
         deadlineMs: deadline.deadlineMs,
-        signal: deadline.signal,
-        idempotencyKey: call.head.once?.key
+        signal: deadline.signal
       })
       run(call, deadline, self)
         .catch((err: unknown) => call.refuse(unknownOutcome('internal-error', `the node beside the target failed: ${String(err)}`), reportOf(self)))
--- a/packages/node/src/calls/forwarder.ts
+++ b/packages/node/src/calls/forwarder.ts
@@ -33,7 +33,7 @@
 export type AttemptRecord = { vmId: string, crossedRegion: boolean, result: string }
 
 export type ForwardResult = { attempts: AttemptRecord[], report: CallReport } & (
-  | { kind: 'answer', head: ResponseHead, body: ByteQueue, finish: Promise<CallFinish>, cancel: () => void, settle: (finish: CallFinish) => CallReport }
+  | { kind: 'answer', head: ResponseHead, body: ByteQueue, finish: Promise<CallFinish>, settle: (finish: CallFinish) => CallReport }
   | { kind: 'refused', refusal: Refusal }
   /** Contact with the executor was lost after the call was sent; only non-repeatable calls come back like this. */
   | { kind: 'lost', token: string, message: string }
@@ -148,7 +148,6 @@
           head: tries.head,
           body: tries.body,
           finish: tries.call.finish,
-          cancel: () => tries.call.cancel(),
           settle: (finish) => {
             if (finish.kind === 'complete') latencies.add(req.opKey, clock.nowMs() - startedMs)
             return settle('report' in finish ? finish.report : NO_REPORT, finish.kind === 'complete')
@@ -183,7 +182,6 @@
     path: req.path,
     headers: req.headers,
     opKey: req.opKey,
-    repeatable: req.op?.repeatable ?? true,
     remainingMs: req.deadline.remainingMs(),
     traceFlags: req.traceFlags,
     offer,
--- a/packages/node/src/calls/inbound-calls.test.ts
+++ b/packages/node/src/calls/inbound-calls.test.ts
@@ -5,8 +5,7 @@
   root: { requestId: 'r', traceId, customer: 'c', entryOpKey: '', priority: 0, ledger: { host: '', port: 0 }, region: '' },
   traceFlags: '00',
   deadlineMs: 0,
-  signal: new AbortController().signal,
-  idempotencyKey: undefined
+  signal: new AbortController().signal
 })
 
 // Guards against a target's call being counted to another request.
--- a/packages/node/src/calls/inbound-calls.ts
+++ b/packages/node/src/calls/inbound-calls.ts
@@ -11,8 +11,6 @@
   deadlineMs: number
   /** Aborts when the caller has gone or the deadline has passed. */
   signal: AbortSignal
-  /** Idempotency key of the call, if it has one. */
-  idempotencyKey: string | undefined
   /** Adds the report of a call that the target made on behalf of this one. */
   addChild: (report: Pick<CallReport, 'pathLevel' | 'regionBytes'>) => void
   /** Tells that a call of the target was refused by a node. */
@@ -30,7 +28,7 @@
 export type InboundLookup = { kind: 'open', call: InboundCall } | { kind: 'closed' } | { kind: 'unknown' }
 
 export type InboundCalls = {
-  open: (call: Pick<InboundCall, 'root' | 'traceFlags' | 'deadlineMs' | 'signal' | 'idempotencyKey'>) => InboundCall
+  open: (call: Pick<InboundCall, 'root' | 'traceFlags' | 'deadlineMs' | 'signal'>) => InboundCall
   close: (call: InboundCall) => void
   bySpan: (traceId: string, spanId: string) => InboundLookup
   /** Newest open call of the trace, for targets whose tracing library starts spans of its own. */
--- a/packages/node/src/links/links.test.ts
+++ b/packages/node/src/links/links.test.ts
@@ -20,7 +20,6 @@
   path: '/',
   headers: [],
   opKey: 'GET s /',
-  repeatable: true,
   remainingMs: 1000,
   traceFlags: '00',
   offer: false,
--- a/packages/node/src/links/listener.ts
+++ b/packages/node/src/links/listener.ts
@@ -1,5 +1,6 @@
-import { createServer, type Server, type Socket } from 'node:net'
+import { createServer, type Socket } from 'node:net'
 import type { PeerAddress } from '@orioleslip/core'
+import { listen } from '../net/listen.js'
 import { createFrameWriter, createPeerConnection, readFrames, type ConnectionHandlers, type PeerConnection } from './connection.js'
 import { DIAL_TIMEOUT_MS, type LinkIdentity } from './dial.js'
 import type { Frame } from './frames.js'
@@ -73,13 +74,3 @@
     })
   }
 }
-
-function listen (server: Server, { host, port }: PeerAddress): Promise<void> {
-  return new Promise((resolve, reject) => {
-    server.once('error', reject)
-    server.listen({ host, port }, () => {
-      server.removeListener('error', reject)
-      resolve()
-    })
-  })
-}
--- a/packages/node/src/links/messages.ts
+++ b/packages/node/src/links/messages.ts
@@ -11,7 +11,6 @@
   headers: string[]
   /** Operation key, or the key of the unlisted operations of the service. */
   opKey: string
-  repeatable: boolean
   /** Time left until the deadline when the head was sent, in ms. */
   remainingMs: number
   /** Span of the caller; the executor node creates a child span for the target. */
--- a/packages/node/src/links/pool.ts
+++ b/packages/node/src/links/pool.ts
@@ -8,7 +8,6 @@
   /** An open connection to the address, or a promise of one. */
   get: (address: PeerAddress) => PeerConnection | Promise<Result<PeerConnection, DialError>>
   ask: (address: PeerAddress, kind: string, body: unknown, timeoutMs: number) => Promise<unknown>
-  openCalls: () => number
   close: () => void
 }
 
@@ -44,7 +43,6 @@
       const dialed = await found
       return dialed.isOk() ? dialed.value.ask(kind, body, timeoutMs) : undefined
     },
-    openCalls: () => [...open.values()].reduce((sum, connection) => sum + connection.openCalls(), 0),
     close: () => { for (const connection of [...open.values()]) connection.close('the node is stopping') }
   }
 }
--- a/packages/node/src/server/caller-server.ts
+++ b/packages/node/src/server/caller-server.ts
@@ -1,5 +1,6 @@
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
 import { WELL_KNOWN_PREFIX, type PeerAddress } from '@orioleslip/core'
+import { listen } from '../net/listen.js'
 
 export type RequestListener = (req: IncomingMessage, res: ServerResponse) => Promise<void>
 
@@ -42,13 +43,3 @@
     abort: () => server.closeAllConnections()
   }
 }
-
-function listen (server: Server, { host, port }: PeerAddress): Promise<void> {
-  return new Promise((resolve, reject) => {
-    server.once('error', reject)
-    server.listen({ host, port }, () => {
-      server.removeListener('error', reject)
-      resolve()
-    })
-  })
-}
