--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import neostandard from 'neostandard'
 
 export default [
-  { ignores: ['**/dist/**', 'out/**'] },
+  { ignores: ['**/dist/**', 'out/**', 'target/**'] },
   ...neostandard({ ts: true, noStyle: true }),
   {
     files: ['**/*.ts'],
--- a/eslint.format.config.js
+++ b/eslint.format.config.js
@@ -6,7 +6,7 @@
 }))
 
 export default [
-  { ignores: ['**/dist/**', 'out/**'] },
+  { ignores: ['**/dist/**', 'out/**', 'target/**'] },
   { linterOptions: { reportUnusedDisableDirectives: 'off' } },
   ...style,
   { files: ['**/*.ts'], rules: { '@stylistic/max-len': ['error', { code: 140, ignoreStrings: true, ignoreTemplateLiterals: true, ignoreUrls: true }] } }
--- a/packages/control/src/api/client.ts
+++ b/packages/control/src/api/client.ts
@@ -3,6 +3,7 @@
 import { err, ok, ResultAsync, type Result } from 'neverthrow'
 import { Agent, fetch } from 'undici'
 import type { KeyCallAnswer, KeyProcedure } from './key-calls.js'
+import type { RoutesRouter } from '../routes/router.js'
 import type { ControlRouter } from './router.js'
 
 /** Failure of a control API call. */
@@ -38,8 +39,8 @@
 const DEFAULT_TIMEOUT_MS = 8000
 const NOT_CONNECTED = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
 
-/** Creates a client of one control VM that signs each request. */
-export function createControlClient (options: ControlClientOptions): ControlClient {
+/** Creates the signed transport to one control VM. */
+function connect (options: ControlClientOptions) {
   const { authority, signedAuthority = authority, principal, key, clock, timeoutMs = DEFAULT_TIMEOUT_MS } = options
   const dispatcher = new Agent({ connect: { timeout: CONNECT_TIMEOUT_MS }, keepAliveTimeout: 10_000 })
 
@@ -69,16 +70,31 @@
     }
   }
 
-  const api = createTRPCClient<ControlRouter>({ links: [httpLink({ url: `http://${authority}/trpc`, fetch: signedFetch })] })
+  return { url: `http://${authority}/trpc`, fetch: signedFetch, close: () => dispatcher.destroy() }
+}
+
+/** Client of a control VM that keeps routes. */
+export type RoutesClient = { authority: string, api: TRPCClient<RoutesRouter>, close: () => Promise<void> }
+
+/** Creates a client of one control VM that keeps routes; it signs each request. */
+export function createRoutesClient (options: ControlClientOptions): RoutesClient {
+  const { url, fetch, close } = connect(options)
+  return { authority: options.authority, api: createTRPCClient<RoutesRouter>({ links: [httpLink({ url, fetch })] }), close }
+}
+
+/** Creates a client of one control VM that signs each request. */
+export function createControlClient (options: ControlClientOptions): ControlClient {
+  const { url, fetch, close } = connect(options)
+  const api = createTRPCClient<ControlRouter>({ links: [httpLink({ url, fetch })] })
   return {
-    authority,
+    authority: options.authority,
     api,
     keyCall: (procedure, input) => new ResultAsync((async (): Promise<Result<unknown, RegisterError>> => {
       const res = await callControl<KeyCallAnswer>(api.keys[procedure].mutate(input))
       if (res.isErr()) return err(toRegisterError(res.error))
       return res.value.kind === 'done' ? ok(res.value.value) : err(res.value.problem)
     })()),
-    close: () => dispatcher.destroy()
+    close
   }
 }
 
--- a/packages/control/src/api/node-service.ts
+++ b/packages/control/src/api/node-service.ts
@@ -1,5 +1,5 @@
 import type { Clock, ReplicatedLog } from '@orioleslip/core'
-import type { ListsChange, ListsMachine } from '../lists/state-machine.js'
+import type { ListsChange } from '../lists/state-machine.js'
 import type { NodeReports } from './node-reports.js'
 import type { Confirm } from './shared-confirm.js'
 
@@ -7,9 +7,12 @@
 export type SinceInput = { vmId: string, revision: number, waitMs: number, callerAddress?: string | undefined }
 
 /** Answer to a poll. `confirmed` says that no revision later than the answered one was in effect when the poll was answered. */
-export type SinceAnswer = { change: ListsChange, confirmed: boolean, reason?: string }
+export type SinceAnswer<Change = ListsChange> = { change: Change, confirmed: boolean, reason?: string }
 
-export type NodeService = { since: (input: SinceInput, signal?: AbortSignal) => Promise<SinceAnswer> }
+export type NodeService<Change = ListsChange> = { since: (input: SinceInput, signal?: AbortSignal) => Promise<SinceAnswer<Change>> }
+
+/** The replicated document that nodes follow. */
+export type FollowedState<Change> = { revision: () => number, since: (revision: number) => Change }
 
 /** Longest time that a poll is held, in ms. */
 export const MAX_HOLD_MS = 5000
@@ -18,23 +21,23 @@
 const RECHECK_MS = 1000
 
 /** Creates the operations that nodes call. */
-export function createNodeService (
+export function createNodeService<Change> (
   options: {
     lists: Pick<ReplicatedLog<unknown, unknown>, 'onApplied'>
-    machine: ListsMachine
+    machine: FollowedState<Change>
     confirm: Confirm
     reports: NodeReports
     clock: Clock
     /** Aborts when the process stops; held polls are then answered. */
     stopping: AbortSignal
   }
-): NodeService {
+): NodeService<Change> {
   const { lists, machine, confirm, reports, clock, stopping } = options
   const waiting = new Set<AbortController>()
-  let revision = machine.document().revision
+  let revision = machine.revision()
   lists.onApplied(() => {
-    if (machine.document().revision === revision) return
-    revision = machine.document().revision
+    if (machine.revision() === revision) return
+    revision = machine.revision()
     wakeAll()
   })
   stopping.addEventListener('abort', wakeAll, { once: true })
@@ -76,7 +79,7 @@
       let current = checked ? undefined : await confirm()
       for (;;) {
         const leftMs = untilMs - clock.nowMs()
-        const isNews = machine.document().revision > input.revision
+        const isNews = machine.revision() > input.revision
         if (current?.isErr() === true || leftMs <= 0 || signal?.aborted === true || stopping.aborted || isNews) break
         await waitForEdit(leftMs, signal)
         current = await confirm()
--- a/packages/control/src/api/server.ts
+++ b/packages/control/src/api/server.ts
@@ -8,8 +8,7 @@
 import { err, ok, type Result } from 'neverthrow'
 import type { Logger } from 'pino'
 import type { Attempt } from './attempt-log.js'
-import { createControlRouter, type ControlServices } from './router.js'
-import type { ApiContext } from './trpc.js'
+import type { ApiContext, ApiRouter } from './trpc.js'
 
 export type ApiServer = { port: number, stop: () => Promise<void> }
 
@@ -29,11 +28,10 @@
   authority: string
   verify: RequestVerifier
   recordAttempt: (attempt: Attempt) => void
-  services: ControlServices
+  router: ApiRouter
   log: Logger
 }): Promise<Result<ApiServer, ListenError>> {
-  const { address, authority, verify, recordAttempt, services, log } = options
-  const router = createControlRouter(services)
+  const { address, authority, verify, recordAttempt, router, log } = options
   const app = new Hono()
   app.use('/trpc/*', bodyLimit({ maxSize: MAX_BODY_BYTES, onError: (ctx) => ctx.text('the body exceeds 8 MiB', 413) }))
   app.all('/trpc/*', async (ctx) => {
--- a/packages/control/src/api/trpc.ts
+++ b/packages/control/src/api/trpc.ts
@@ -1,5 +1,5 @@
 import type { Caller } from '@orioleslip/core'
-import { initTRPC, TRPCError } from '@trpc/server'
+import { initTRPC, TRPCError, type AnyTRPCRouter } from '@trpc/server'
 import type { Attempt } from './attempt-log.js'
 
 export type ApiContext = { caller: Caller, recordAttempt: (attempt: Attempt) => void }
@@ -8,6 +8,9 @@
 
 export const router = t.router
 
+/** A router of the control API, whatever its procedures. */
+export type ApiRouter = AnyTRPCRouter
+
 function denied (caller: Caller, wanted: string): TRPCError {
   return caller.kind === 'unauthenticated'
     ? new TRPCError({ code: 'UNAUTHORIZED', message: caller.reason })
--- a/packages/control/src/client.ts
+++ b/packages/control/src/client.ts
@@ -1,5 +1,5 @@
 // What clients of the control API need. It loads none of the server's modules, since nodes have little memory.
-export { callControl, createControlClient, type ControlCallError, type ControlClient, type ControlClientOptions } from './api/client.js'
+export { callControl, createControlClient, createRoutesClient, type ControlCallError, type ControlClient, type ControlClientOptions, type RoutesClient } from './api/client.js'
 export { toAuthority } from './api/address.js'
 export type { ControlRouter, InitAnswer } from './api/router.js'
 export type { EditAnswer, GetAnswer, HistoryEntry } from './api/operator-service.js'
@@ -7,5 +7,6 @@
 export type { ControlVmStatus, LaggingNode, StatusAnswer } from './api/status-service.js'
 export type { NodeReport } from './api/node-reports.js'
 export type { ListsChange } from './lists/state-machine.js'
+export type { RoutesChange } from './routes/state-machine.js'
 export type { AuditReport } from './audit/trail.js'
 export { GENESIS, verifyChain, type AuditAnchor, type AuditEntry, type AuditOutcome, type ChainFault } from './audit/chain.js'
--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -10,6 +10,7 @@
 import { createNodeReports } from './api/node-reports.js'
 import { createNodeService } from './api/node-service.js'
 import { createOperatorService } from './api/operator-service.js'
+import { createControlRouter } from './api/router.js'
 import { startApiServer } from './api/server.js'
 import { createSharedConfirm } from './api/shared-confirm.js'
 import { createStatusService, type VmReport } from './api/status-service.js'
@@ -87,7 +88,7 @@
     verify: createRequestVerifier({ fleetKey, operators, clock }),
     recordAttempt: createAttemptLog({ vmId, lists: listsLog, clock, log }),
     log,
-    services: {
+    router: createControlRouter({
       operator: createOperatorService({ vmId, lists: listsLog, machine, confirm, clock, log }),
       status: createStatusService({
         authority,
@@ -111,7 +112,7 @@
       },
       vmReport,
       keys: createKeyCalls(keyGroup, keysLog)
-    }
+    })
   })
   const closeAll = async () => {
     await Promise.all([...groups.values()].map((group) => group.close()))
--- a/packages/control/src/lists/state-machine.ts
+++ b/packages/control/src/lists/state-machine.ts
@@ -12,6 +12,7 @@
   | { kind: 'full', document: ListsDocument }
 
 export type ListsMachine = StateMachine<ListsCommand, ListsReply, ListsState> & {
+  revision: () => number
   document: () => ListsDocument
   digest: () => string
   /** Changes after a revision; the full document when the deltas in between are gone or larger than it. */
@@ -123,6 +124,7 @@
       // The archive takes the entries that it doesn't have yet.
       for (const entry of state.audit.entries) onAudit(entry)
     },
+    revision: () => document.revision,
     document: () => document,
     digest: () => digest,
     since,
--- a/packages/control/src/replication/configuration.ts
+++ b/packages/control/src/replication/configuration.ts
@@ -18,6 +18,10 @@
   joins: Map<string, string>
   /** The member has answered within the lease time; true for the leader itself. */
   isHeard: (storageId: string) => boolean
+  /** Most voters; further members stay learners until a voter is gone. */
+  voterLimit: number
+  /** The voter has been out of contact for so long that a waiting learner takes its place. */
+  isGone: (storageId: string) => boolean
   /** The member's log has reached the leader's, but for the last few entries. */
   isCaughtUp: (storageId: string) => boolean
 }
@@ -44,7 +48,14 @@
   }
   for (const learner of members.filter((member) => !member.voter && view.isCaughtUp(member.storageId))) {
     const replaced = members.find((member) => member.vmId === learner.vmId && member.voter)
-    if (replaced === undefined) return members.map((member) => member === learner ? { ...member, voter: true } : member)
+    if (replaced === undefined && votersOf(config).length < view.voterLimit) {
+      return members.map((member) => member === learner ? { ...member, voter: true } : member)
+    }
+    if (replaced === undefined) {
+      const gone = votersOf(config).find((member) => view.isGone(member.storageId))
+      if (gone === undefined) continue
+      return without(gone)
+    }
     // Two processes that use the same VM id must not push each other out.
     if (!view.isHeard(replaced.storageId)) return without(replaced)
   }
--- a/packages/control/src/replication/handler.ts
+++ b/packages/control/src/replication/handler.ts
@@ -21,7 +21,10 @@
       return { kind: 'readIndex', ...(index === undefined ? {} : { index }) }
     }
     case 'forward': return await handleForward(replica, body)
-    case 'join': return { kind: 'join', accepted: await handleJoin(replica, from.vmId) }
+    case 'join': {
+      const accepted = await handleJoin(replica, from.vmId)
+      return { kind: 'join', accepted, ...(replica.leaderVmId === undefined ? {} : { leader: replica.leaderVmId }) }
+    }
     case 'identify': return {
       kind: 'identify',
       storageId: replica.self.storageId,
--- a/packages/control/src/replication/membership.ts
+++ b/packages/control/src/replication/membership.ts
@@ -10,12 +10,17 @@
 
 /** Adds, removes and promotes members on the leader, one committed change at a time. */
 export async function runMembership (replica: Replica, leadership: Leadership) {
-  const { clock, settings, store, self } = replica
+  const { clock, settings, store, self, membership } = replica
   const contactMs = (storageId: string) => leadership.progress.get(storageId)?.contactMs ?? -Infinity
   const matchIndex = (storageId: string) => leadership.progress.get(storageId)?.matchIndex ?? 0
   const view: MemberView = {
     joins: leadership.joins,
     isHeard: (storageId) => storageId === self.storageId || clock.nowMs() - contactMs(storageId) < settings.leaseMs,
+    voterLimit: membership.kind === 'open' ? membership.voters : Infinity,
+    isGone: (storageId) => {
+      const silentMs = clock.nowMs() - Math.max(leadership.startedMs, contactMs(storageId))
+      return storageId !== self.storageId && silentMs >= settings.replaceAfterMs
+    },
     isCaughtUp: (storageId) => view.isHeard(storageId) && matchIndex(storageId) + CAUGHT_UP_ENTRIES > store.log.lastIndex()
   }
   while (!leadership.ended) {
@@ -61,10 +66,11 @@
   }
 }
 
-/** Handles a request to join; the sender's VM must be among the control VMs of the settings. */
+/** Handles a request to join; with listed membership the sender's VM must be among the control VMs of the settings. */
 export async function handleJoin (replica: Replica, vmId: string): Promise<boolean> {
-  const { leadership, peers } = replica
-  if (leadership === undefined || !peers.some((peer) => peer.vmId === vmId) || vmId === replica.self.vmId) return false
+  const { leadership, peers, membership } = replica
+  const mayJoin = membership.kind === 'open' || peers.some((peer) => peer.vmId === vmId)
+  if (leadership === undefined || !mayJoin || vmId === replica.self.vmId) return false
   const storageId = await verifyJoin(replica, vmId)
   if (storageId === undefined || leadership.ended) return false
   leadership.joins.set(vmId, storageId)
@@ -73,16 +79,27 @@
 
 /** Asks the other control VMs for admission while this replica is no member, or no leader may know it as one. */
 export async function runJoin (replica: Replica) {
-  const { clock, settings, peers, self } = replica
+  const { clock, settings } = replica
   while (!replica.closed) {
     await clock.sleep(settings.joinRetryMs)
     const isHeard = clock.nowMs() - replica.leaderContactMs < settings.electionMaxMs || replica.role === 'leader'
     if (replica.closed || replica.fault !== undefined || replica.initiating) continue
     // A removed member isn't sent the entry that removes it.
     if (ownMember(replica) !== undefined && isHeard) continue
-    for (const { vmId } of peers.filter((peer) => peer.vmId !== self.vmId)) {
-      const reply = await request(replica, vmId, { kind: 'join' })
-      if (reply?.kind === 'join' && reply.accepted) break
-    }
+    await askToJoin(replica)
+  }
+}
+
+/** Asks each known VM in turn, and the leaders that they name, until one takes the request. */
+async function askToJoin (replica: Replica) {
+  const asked = new Set([replica.self.vmId])
+  const waiting = replica.peers.map(({ vmId }) => vmId)
+  for (let vmId = waiting.shift(); vmId !== undefined; vmId = waiting.shift()) {
+    if (asked.has(vmId)) continue
+    asked.add(vmId)
+    const reply = await request(replica, vmId, { kind: 'join' })
+    if (reply?.kind !== 'join') continue
+    if (reply.accepted) return
+    if (reply.leader !== undefined) waiting.unshift(reply.leader)
   }
 }
--- a/packages/control/src/replication/messages.ts
+++ b/packages/control/src/replication/messages.ts
@@ -61,7 +61,8 @@
   | IdentifyReply
   | ForwardReply
   | { kind: 'readIndex', index?: number }
-  | { kind: 'join', accepted: boolean }
+  /** `leader` is the one that the sender of the reply follows. */
+  | { kind: 'join', accepted: boolean, leader?: string }
   | RefusedReply
 
 /** Carries messages between control VMs. `send` rejects when there is no reply; a message may still have arrived, even several times. */
--- a/packages/control/src/replication/replica.ts
+++ b/packages/control/src/replication/replica.ts
@@ -10,6 +10,13 @@
 /** Receives log lines; pino's logger fits. */
 export type ReplicationLogger = Record<'info' | 'warn' | 'error', (fields: object, message: string) => void>
 
+/** Which VMs may be members. */
+export type MembershipRule =
+  /** Those of the settings. */
+  | { kind: 'listed' }
+  /** Any VM that asks, up to `voters` of them; further ones wait as learners and replace voters that are out of contact. */
+  | { kind: 'open', voters: number }
+
 /** A control VM of the settings; `address` is that of its API, as shown to clients. */
 export type ReplicationPeer = { vmId: string, address: string }
 
@@ -57,6 +64,7 @@
   readonly group: string
   readonly self: { vmId: string, storageId: string }
   readonly peers: ReplicationPeer[]
+  readonly membership: MembershipRule
   readonly settings: ReplicationSettings
   readonly clock: Clock
   readonly random: Random
--- a/packages/control/src/replication/replicated-log.ts
+++ b/packages/control/src/replication/replicated-log.ts
@@ -12,7 +12,7 @@
 import { openReplicaStore } from './open-replica.js'
 import { propose } from './proposals.js'
 import { confirmCurrent } from './reads.js'
-import { failureOf, ownMember, refreshConfiguration, type Replica, type ReplicationLogger, type ReplicationPeer } from './replica.js'
+import { failureOf, ownMember, refreshConfiguration, type MembershipRule, type Replica, type ReplicationLogger, type ReplicationPeer } from './replica.js'
 import { leaseMs, stepDown } from './roles.js'
 import { defaultReplicationSettings, type ReplicationSettings } from './settings.js'
 import { startTask } from './tasks.js'
@@ -22,8 +22,10 @@
   /** Name of the log group. */
   group: string
   vmId: string
-  /** All control VMs, this one included. */
-  peers: ReplicationPeer[]
+  /** All control VMs, this one included; a function gives those known at the moment, from the VMs of the group. */
+  peers: ReplicationPeer[] | ((memberIds: string[]) => ReplicationPeer[])
+  /** Which VMs may join; by default those of `peers`. */
+  membership?: MembershipRule
   /** Folder of this group; nothing else may use it. */
   dir: string
   /** `apply` must not throw and must not change the command; commands, replies and state are JSON-compatible. */
@@ -61,7 +63,8 @@
   options: ReplicatedLogOptions<Command, Reply, State>): Promise<Result<ControlLog<Command, Reply>, StorageError>> {
   const { fileSystem = nodeFileSystem, clock = systemClock, logger = noLogger } = options
   const settings = { ...defaultReplicationSettings, ...options.settings }
-  const opened = await openReplicaStore({ ...options, fileSystem, clock, logger, settings })
+  const peers = typeof options.peers === 'function' ? options.peers([]) : options.peers
+  const opened = await openReplicaStore({ ...options, peers, fileSystem, clock, logger, settings })
   if (opened.isErr()) return err(opened.error)
   const replica = createReplica(options, settings, opened.value)
   startTask(replica, runElections(replica))
@@ -91,7 +94,7 @@
 
 function createReplica<Command, Reply, State> (
   options: ReplicatedLogOptions<Command, Reply, State>, settings: ReplicationSettings, store: Store): Replica {
-  const { group, vmId, peers, transport, machine, clock = systemClock, random = systemRandom, logger = noLogger } = options
+  const { group, vmId, peers, membership = { kind: 'listed' }, transport, machine, clock = systemClock, random = systemRandom, logger = noLogger } = options
   const { term, vote, storageId } = store.hardState()
   const snapshot = store.snapshot()
   if (snapshot !== undefined) machine.restore(store.takeInitialState() as State)
@@ -99,7 +102,8 @@
   const replica: Replica = {
     group,
     self: { vmId, storageId },
-    peers,
+    get peers (): ReplicationPeer[] { return typeof peers === 'function' ? peers(replica.config?.members.map((member) => member.vmId) ?? []) : peers },
+    membership,
     settings,
     clock,
     random,
--- a/packages/control/src/replication/settings.ts
+++ b/packages/control/src/replication/settings.ts
@@ -13,6 +13,8 @@
   proposeTimeoutMs: number
   /** Longest wait of a follower until it has applied the read index. */
   readTimeoutMs: number
+  /** A voter without contact for this long is replaced, where a learner waits for its place. */
+  replaceAfterMs: number
   /** Time between two tries to join the group. */
   joinRetryMs: number
   /** Longest wait of a damaged replica for a leader, before its start fails. */
@@ -48,6 +50,7 @@
   rpcTimeoutMs: 250,
   proposeTimeoutMs: 3000,
   readTimeoutMs: 1000,
+  replaceAfterMs: 1500,
   joinRetryMs: 1000,
   repairWaitMs: 15_000,
   fullDiskPauseMs: 10_000,
--- /dev/null
+++ b/packages/control/src/routes/bootstrap.ts
@@ -0,0 +1,31 @@
+import type { Clock } from '@orioleslip/core'
+import type { Logger } from 'pino'
+import type { ControlLog } from '../replication/replicated-log.js'
+
+export type BootstrapOptions = {
+  log: Logger
+  clock: Clock
+  routes: Pick<ControlLog<never, unknown>, 'init' | 'status'>
+  /** API authority of this process. */
+  self: string
+  /** API authorities that every process of the first start has been given. */
+  seeds: readonly string[]
+  signal: AbortSignal
+}
+
+const RETRY_MS = 200
+
+/**
+ * Forms the group at the first start of a fleet. Only the first seed in sorted order does so, and all seeds have to answer, so that
+ * two groups can't come about in any order of starting; the other control VMs join it.
+ */
+export async function runBootstrap ({ log, clock, routes, self, seeds, signal }: BootstrapOptions): Promise<void> {
+  const members = [...seeds].sort()
+  if (members[0] !== self) return
+  while (!signal.aborted && routes.status().members.length === 0) {
+    const res = await routes.init(members)
+    if (res.isOk()) return
+    log.info({ event: 'bootstrap', members, problem: res.error.message }, 'the group is not formed yet')
+    await clock.sleep(RETRY_MS, signal)
+  }
+}
--- /dev/null
+++ b/packages/control/src/routes/peer-clients.ts
@@ -0,0 +1,24 @@
+import type { Clock } from '@orioleslip/core'
+import { createRoutesClient, type RoutesClient } from '../api/client.js'
+import type { ReplicationReply, ReplicationTransport } from '../replication/messages.js'
+
+export type PeerClients = { transport: ReplicationTransport, close: () => Promise<void> }
+
+// Longer than the log's wait for a forwarded proposal (3.25 s); the log applies its own limits to other messages.
+const PEER_TIMEOUT_MS = 5000
+
+/** Creates the transport between control VMs that name themselves by the authority of their API, so that every name is an address. */
+export function createPeerClients ({ fleetKey, clock }: { fleetKey: string, clock: Clock }): PeerClients {
+  const clients = new Map<string, RoutesClient>()
+  const clientOf = (authority: string): RoutesClient => {
+    const known = clients.get(authority)
+    if (known !== undefined) return known
+    const client = createRoutesClient({ authority, principal: { kind: 'fleet' }, key: fleetKey, clock, timeoutMs: PEER_TIMEOUT_MS })
+    clients.set(authority, client)
+    return client
+  }
+  return {
+    transport: { send: async (authority, message) => await clientOf(authority).api.message.mutate(message) as ReplicationReply },
+    close: async () => { await Promise.all([...clients.values()].map((client) => client.close())) }
+  }
+}
--- /dev/null
+++ b/packages/control/src/routes/routes-control.ts
@@ -0,0 +1,87 @@
+import { join } from 'node:path'
+import { createRequestVerifier, systemClock, type Clock, type Settings } from '@orioleslip/core'
+import { err, ok, type Result } from 'neverthrow'
+import type { Logger } from 'pino'
+import { toAuthority } from '../api/address.js'
+import { createNodeReports } from '../api/node-reports.js'
+import { createNodeService } from '../api/node-service.js'
+import { startApiServer } from '../api/server.js'
+import { createSharedConfirm } from '../api/shared-confirm.js'
+import type { ControlStartError } from '../control.js'
+import type { ReplicationMessage } from '../replication/messages.js'
+import { createReplicatedLog } from '../replication/replicated-log.js'
+import { runBootstrap } from './bootstrap.js'
+import { createPeerClients } from './peer-clients.js'
+import { createRoutesRouter } from './router.js'
+import { createRoutesService, type RoutesService } from './routes-service.js'
+import { createRoutesMachine } from './state-machine.js'
+
+/** A control process that keeps routes; it finds the others through seeds. */
+export type RoutesControl = { service: RoutesService, stop: () => Promise<void> }
+
+/** Starts the replica of the routes log, its API and, at the first start of the fleet, the group. */
+export async function startRoutesControl (
+  settings: Settings, deps: { log: Logger, clock?: Clock }
+): Promise<Result<RoutesControl, ControlStartError>> {
+  const { log, clock = systemClock } = deps
+  const { vm, control: own, discovery, auth: { fleetKey } } = settings
+  const fail = (message: string) => err<RoutesControl, ControlStartError>({ kind: 'controlStartFailed', message })
+  if (own === undefined || discovery === undefined) return fail('the settings need a [control] and a [discovery] table; add them')
+  const self = toAuthority(vm.address, own.apiPort)
+  const seeds = discovery.seeds.map((seed) => toAuthority(seed.address, seed.apiPort))
+  const voters = 2 * discovery.lostDisksTolerated + 1
+  const stopping = new AbortController()
+  const clients = createPeerClients({ fleetKey, clock })
+  const machine = createRoutesMachine()
+  const opened = await createReplicatedLog({
+    group: 'routes',
+    vmId: self,
+    peers: (memberIds) => [...new Set([...seeds, ...memberIds])].map((authority) => ({ vmId: authority, address: authority })),
+    membership: { kind: 'open', voters },
+    dir: join(own.dataDir, 'routes'),
+    machine,
+    transport: clients.transport,
+    clock,
+    logger: log
+  })
+  if (opened.isErr()) return fail(opened.error.message)
+  const routes = opened.value
+  const confirm = createSharedConfirm(routes)
+  const server = await startApiServer({
+    address: vm.address,
+    port: own.apiPort,
+    authority: self,
+    verify: createRequestVerifier({ fleetKey, operators: [], clock }),
+    recordAttempt: ({ reason }) => log.warn({ event: 'refused-call', reason }, 'refused a call of the control API'),
+    log,
+    router: createRoutesRouter({
+      node: createNodeService({
+        lists: routes,
+        machine: { since: machine.since, revision: () => machine.document()?.revision ?? -1 },
+        confirm,
+        reports: createNodeReports(clock),
+        clock,
+        stopping: stopping.signal
+      }),
+      replicaMessage: (message) => routes.handle(message as ReplicationMessage)
+    })
+  })
+  if (server.isErr()) {
+    await Promise.all([routes.close(), clients.close()])
+    return fail(server.error.message)
+  }
+  const bootstrap = discovery.firstStart
+    ? runBootstrap({ log, clock, routes, self, seeds, signal: stopping.signal })
+    : Promise.resolve()
+  log.info({ event: 'start', vmId: vm.id, address: self, dataDir: own.dataDir }, 'control process is up')
+  return ok({
+    service: createRoutesService({ routes, machine, confirm, minVoters: voters, log }),
+    stop: async () => {
+      stopping.abort()
+      await server.value.stop()
+      await routes.close()
+      await clients.close()
+      await bootstrap
+    }
+  })
+}
--- a/packages/control/src/testing/api-fixture.ts
+++ b/packages/control/src/testing/api-fixture.ts
@@ -5,7 +5,7 @@
 import { createNodeReports } from '../api/node-reports.js'
 import { createNodeService } from '../api/node-service.js'
 import { createOperatorService } from '../api/operator-service.js'
-import type { ControlServices } from '../api/router.js'
+import { createControlRouter, type ControlServices } from '../api/router.js'
 import { startApiServer } from '../api/server.js'
 import { createSharedConfirm } from '../api/shared-confirm.js'
 import { createListsMachine } from '../lists/state-machine.js'
@@ -52,7 +52,7 @@
     authority,
     verify: createRequestVerifier({ fleetKey: FLEET_KEY, operators: [{ name: 'ana', key: OPERATOR_KEY }], clock }),
     recordAttempt: createAttemptLog({ vmId: 'c1', lists, clock, log }),
-    services,
+    router: createControlRouter(services),
     log
   }))._unsafeUnwrap()
   const connect = (principal: Principal, key: string) =>
--- /dev/null
+++ b/packages/core/src/routes/routes.test.ts
@@ -0,0 +1,42 @@
+import test from 'ava'
+import { createRoutesIndex } from './lookup.js'
+import { routeListSchema, type Route } from './schema.js'
+
+const LIMITS = { maxHeaderBytes: 16_384, maxBodyBytes: 1000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 }
+const routeOf = (name: string, prefix: string, over: Partial<Route> = {}): Route => ({
+  name,
+  host: 'a.example',
+  prefix,
+  repeat: 'safe',
+  rank: 1,
+  timeoutMs: 800,
+  targetLatencyMs: 1200,
+  maxAttempts: 2,
+  destinations: [{ service: 's', weight: 1 }],
+  ...over
+})
+const listOf = (...routes: Route[]) => ({ limits: LIMITS, services: [{ name: 's' }], routes })
+const problemsOf = (route: Route) => routeListSchema.safeParse(listOf(route)).error?.issues.map((issue) => issue.message).join()
+
+// Guards against a shorter prefix that wins, and against prefixes that match within a path segment.
+test('the longest prefix of a host that begins the path wins', (t) => {
+  const list = listOf(routeOf('all', '/'), routeOf('short', '/a/'), routeOf('long', '/a/b/'), routeOf('other', '/x/', { host: 'b.example' }))
+  const { lookup } = createRoutesIndex({ revision: 1, list })
+  t.is(lookup('a.example', '/a/b/c')?.name, 'long')
+  t.is(lookup('A.Example', '/a/bc')?.name, 'short')
+  t.is(lookup('a.example', '/ab')?.name, 'all')
+  t.is(lookup('b.example', '/x/')?.name, 'other')
+  t.is(lookup('b.example', '/y/'), undefined)
+  t.is(lookup('c.example', '/'), undefined)
+})
+
+// Guards against route lists that can't be followed being put into effect.
+test('impossible routes are refused with a reason', (t) => {
+  t.is(problemsOf(routeOf('r', '/a/')), undefined)
+  t.regex(problemsOf(routeOf('r', '/a/', { destinations: [{ service: 'gone', weight: 1 }] })) ?? '', /service "gone" is not defined/)
+  t.regex(problemsOf(routeOf('r', '/a/', { destinations: [{ service: 's', weight: 0 }] })) ?? '', /add up to 0/)
+  t.regex(problemsOf(routeOf('r', '/a/', { timeoutMs: 0 })) ?? '', />=1/)
+  t.regex(problemsOf(routeOf('r', '/a/', { targetLatencyMs: 60_800 })) ?? '', /a minute or more above/)
+  t.is(problemsOf(routeOf('r', '/a/', { targetLatencyMs: 60_799 })), undefined)
+  t.regex(problemsOf(routeOf('r', '/a')) ?? '', /begin and end with/)
+})
--- a/packages/core/src/settings/schema.ts
+++ b/packages/core/src/settings/schema.ts
@@ -23,6 +23,18 @@
   retryAllowance: z.number().int().min(0).max(10).default(2),
   /** Requests of which a decision record is kept for `orioleslip explain`. */
   decisionRecords: z.number().int().min(0).max(100_000).default(2000),
+  /** Time for which a leaving target still takes new calls, until the fleet knows of it, in ms. */
+  leaveSpreadMs: z.number().int().min(0).max(60_000).default(3000),
+  /** Silence of the target after which it counts as gone, in ms. */
+  targetSilenceMs: z.number().int().min(500).max(600_000).default(3000),
+  /** Bound on repeated calls to each service, in sum over the fleet; for fleets driven by routes. */
+  repeatBudget: z.strictObject({
+    /** Repeats per first call. */
+    ratio: z.number().min(0).max(10).default(0.2),
+    /** Further repeats of the whole fleet in one window. */
+    extra: z.number().min(0).max(1_000_000).default(20),
+    windowS: z.number().min(1).max(3600).default(10)
+  }).prefault({}),
   /** False turns admission, limits, retry bounds and routing preferences off; for comparison runs only. */
   overloadControl: z.boolean().default(true)
 })
@@ -46,6 +58,21 @@
 export const controlPeerSchema = z.strictObject({ vmId: name, address, apiPort: port, gossipPort: port, failureDomain: name })
 export type ControlPeer = z.infer<typeof controlPeerSchema>
 
+/** Where a process starts to look for the others when no list of control VMs is kept. */
+export const seedSchema = z.strictObject({ address, apiPort: port, gossipPort: port })
+export type Seed = z.infer<typeof seedSchema>
+
+/** Settings of a fleet whose control VMs find each other. */
+export const discoverySettingsSchema = z.strictObject({
+  /** Some control VMs; they may be down or replaced later. */
+  seeds: z.array(seedSchema).min(1).max(16),
+  /** True only when the whole fleet starts for the first time with empty disks; all processes then have the same seeds. */
+  firstStart: z.boolean().default(false),
+  /** Disks that may be lost at once; the control group has one voter more than twice as many. */
+  lostDisksTolerated: z.number().int().min(0).max(3).default(1)
+})
+export type DiscoverySettings = z.infer<typeof discoverySettingsSchema>
+
 /** Key of an operator, by which edits are authenticated and audited. */
 export const operatorKeySchema = z.strictObject({ name, key })
 export type OperatorKey = z.infer<typeof operatorKeySchema>
@@ -57,7 +84,9 @@
   node: nodeSettingsSchema.optional(),
   control: controlSettingsSchema.optional(),
   /** The control VMs, this one included when the role is control; an odd number of them loses nothing over the next even one. */
-  controls: z.array(controlPeerSchema).min(1).max(8),
+  controls: z.array(controlPeerSchema).max(8).default([]),
+  /** Replaces `controls` for a fleet that is driven by routes: the control VMs find each other. */
+  discovery: discoverySettingsSchema.optional(),
   auth: z.strictObject({
     /** Shared by all processes of the fleet. */
     fleetKey: key,
@@ -72,6 +101,11 @@
   if (settings[needed] === undefined) ctx.addIssue({ code: 'custom', path: [needed], message: `role is "${needed}"; add a [${needed}] table` })
   const other = needed === 'node' ? 'control' : 'node'
   if (settings[other] !== undefined) ctx.addIssue({ code: 'custom', path: [other], message: `role is "${needed}"; remove the [${other}] table` })
+  if (settings.discovery !== undefined) {
+    if (settings.controls.length > 0) ctx.addIssue({ code: 'custom', path: ['controls'], message: 'the control VMs find each other; remove the list or the [discovery] table' })
+    return
+  }
+  if (settings.controls.length === 0) ctx.addIssue({ code: 'custom', path: ['controls'], message: 'list at least one control VM, or add a [discovery] table' })
   if (settings.role === 'control' && !settings.controls.some((peer) => peer.vmId === settings.vm.id)) {
     ctx.addIssue({ code: 'custom', path: ['controls'], message: `add this VM ("${settings.vm.id}") to the list` })
   }
--- a/packages/lab/src/bench-plans/revisions.ts
+++ b/packages/lab/src/bench-plans/revisions.ts
@@ -70,7 +70,7 @@
   for (const { vm: { vmId } } of fleet.vms) {
     let highest = -1
     for (const line of readFileSync(join(fleet.folder, `${vmId}.log`), 'utf8').split('\n')) {
-      if (!line.includes('"Lists in effect"')) continue
+      if (!line.includes('"lists in effect"')) continue
       const { time, revision } = JSON.parse(line) as { time: number, revision: number }
       if (revision <= highest) reverted++
       sightings.push(...newRevisions(vmId, highest < 0 ? revision - 1 : highest, revision, time))
--- a/packages/node/src/admission/target-gate.ts
+++ b/packages/node/src/admission/target-gate.ts
@@ -1,6 +1,6 @@
 import { LEVEL_INTERVAL_MS, notRun } from '@orioleslip/core'
 import type { CallEnd, Clock, GateRequest, GateResult, Permit, Refusal, TargetGate } from '@orioleslip/core'
-import { createConcurrencyLimit } from '../limits/concurrency-limit.js'
+import { createConcurrencyLimit, type ConcurrencyLimit } from '../limits/concurrency-limit.js'
 import { createLatencies } from '../limits/latencies.js'
 import { createAdmissionLevel } from './admission-level.js'
 import { createPriorityQueue } from './priority-queue.js'
@@ -15,9 +15,8 @@
 const refused = (refusal: Refusal): GateResult => ({ kind: 'refused', refusal })
 
 /** Creates the queue and the concurrency limit in front of the target beside this node. */
-export function createTargetGate (opts: { clock: Clock }): TargetGate {
-  const { clock } = opts
-  const limiter = createConcurrencyLimit(clock)
+export function createTargetGate (opts: { clock: Clock, limiter?: ConcurrencyLimit }): TargetGate {
+  const { clock, limiter = createConcurrencyLimit(opts.clock) } = opts
   const latencies = createLatencies(clock)
   const level = createAdmissionLevel()
   const queue = createPriorityQueue<Waiter>()
--- a/packages/node/src/calls/entry-request.ts
+++ b/packages/node/src/calls/entry-request.ts
@@ -65,8 +65,8 @@
   })
 }
 
-/** Length of the body; undefined for a chunked one. */
-function bodyLength (req: IncomingMessage): number | undefined {
+/** Length of the body in bytes; undefined for a chunked one. */
+export function bodyLength (req: IncomingMessage): number | undefined {
   if (req.headers['transfer-encoding'] !== undefined) return undefined
   return Number(req.headers['content-length'] ?? 0)
 }
@@ -90,7 +90,8 @@
   return { kind: 'buffered', bytes: chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks) }
 }
 
-function createReader (req: IncomingMessage): () => Promise<Uint8Array | undefined> {
+/** Reads the body of a request chunk by chunk; rejects when the caller cuts it. */
+export function createReader (req: IncomingMessage): () => Promise<Uint8Array | undefined> {
   const iterator = req[Symbol.asyncIterator]() as AsyncIterator<Uint8Array>
   return async () => {
     const next = await iterator.next()
--- a/packages/node/src/calls/executor.ts
+++ b/packages/node/src/calls/executor.ts
@@ -5,7 +5,7 @@
 import { readAll, type ByteQueue } from '../links/byte-queue.js'
 import type { IncomingCall } from '../links/incoming-call.js'
 import type { CallReport, ResponseHead } from '../links/messages.js'
-import type { LocalTarget } from '../target/local-target.js'
+import type { Announcement, LocalTarget } from '../target/local-target.js'
 import type { TargetBody, TargetReply } from '../target/target-client.js'
 import { startDeadline, type CallDeadline } from './call-deadline.js'
 import type { InboundCall, InboundCalls } from './inbound-calls.js'
@@ -18,15 +18,25 @@
   target: LocalTarget
   gate: TargetGate
   inbound: InboundCalls
-  guard: OnceGuard
+  guard: Pick<OnceGuard, 'begin'>
   clock: Clock
   /** A refusal for every new call while this node must not take any; undefined otherwise. */
   closedFor: () => Refusal | undefined
+  /** Headers that the target gets; by default those of this project's own interface. */
+  targetHeaders?: TargetHeaders
+  /** Says why an answer is none to the call that was sent, or that the target did not run it. */
+  judgeAnswer?: (call: IncomingCall, reply: Pick<TargetHead, 'status' | 'headers'>) => Refusal | undefined
 }
 
+type TargetHead = Extract<TargetReply, { kind: 'head' }>
+
+/** Builds the headers of a call to the target beside this node. */
+export type TargetHeaders = (call: IncomingCall, deadline: CallDeadline, self: InboundCall, target: Announcement) => string[]
+
 /** Runs calls of other nodes at the target beside this one. */
 export function createExecutor (options: ExecutorOptions) {
   const { target, gate, inbound, guard, clock } = options
+  const { targetHeaders = ownHeaders, judgeAnswer = () => undefined } = options
 
   const reportOf = (call: InboundCall): CallReport => {
     const load = gate.load()
@@ -96,9 +106,20 @@
     }
     const body = await targetBody(call, bytes)
     const reply = await current.client.run({
-      method: head.method, path: head.path, headers: targetHeaders(call, deadline, self), body, signal: deadline.signal
+      method: head.method,
+      path: head.path,
+      headers: targetHeaders(call, deadline, self, current.announcement),
+      body,
+      signal: deadline.signal
     })
     if (reply.kind === 'failed') return finishFailed({ call, deadline, self, permit, once, latencyMs, reply })
+    const judged = judgeAnswer(call, reply)
+    if (judged !== undefined) {
+      reply.abort()
+      permit.release({ kind: judged.outcome === 'not-run' ? 'targetShed' : 'failed', latencyMs: latencyMs() })
+      if (judged.outcome === 'not-run') releaseClaim(once)
+      return call.refuse(judged, { ...reportOf(self), reachedTarget: true })
+    }
     const end = await passAnswer({ call, self, once, reply, report: () => reportOf(self) })
     permit.release(endOf({ end, status: reply.status, latencyMs: latencyMs(), self }, deadline))
   }
@@ -108,7 +129,7 @@
     if (!reply.sent) releaseClaim(once)
     const code = deadline.expired() ? 'deadline-exceeded' : 'target-lost'
     const refusal = reply.sent ? unknownOutcome(code, reply.message) : notRun(code, reply.message, 1)
-    call.refuse(refusal, reportOf(self))
+    call.refuse(refusal, { ...reportOf(self), reachedTarget: reply.sent })
   }
 
   return {
@@ -182,7 +203,7 @@
   return whole === undefined ? { kind: 'none' } : { kind: 'buffered', bytes: whole }
 }
 
-function targetHeaders (call: IncomingCall, deadline: CallDeadline, self: InboundCall): string[] {
+function ownHeaders (call: IncomingCall, deadline: CallDeadline, self: InboundCall): string[] {
   const headers: string[] = []
   const own = new Set<string>([HEADERS.traceparent, HEADERS.timeoutMs, HEADERS.requestId])
   const raw = call.head.headers
--- a/packages/node/src/calls/forwarder.ts
+++ b/packages/node/src/calls/forwarder.ts
@@ -1,4 +1,4 @@
-import { notRun, unknownOutcome, type AskRetry, type Clock, type MemberRecord, type Operation, type Refusal, type RootContext, type Router } from '@orioleslip/core'
+import { notRun, unknownOutcome, type Clock, type MemberRecord, type Operation, type Refusal, type RootContext, type Router } from '@orioleslip/core'
 import type { ByteQueue } from '../links/byte-queue.js'
 import type { IncomingCall } from '../links/incoming-call.js'
 import { createLocalCall } from '../links/local-call.js'
@@ -8,7 +8,6 @@
 import type { CallDeadline } from './call-deadline.js'
 import { newAttemptToken } from '../idempotency/token.js'
 import type { Latencies } from '../limits/latencies.js'
-import { mayRetry } from '../retries/may-retry.js'
 import type { InterRegionBudget, VolumeReservation } from '../routing/inter-region-budget.js'
 import { bodyBytes, sendBody, type RequestBody } from './request-body.js'
 
@@ -43,8 +42,11 @@
   self: () => MemberRecord
   router: Router
   pool: PeerPool
-  askRetry: AskRetry
+  /** Decides whether a failed call is sent to another target. */
+  mayTryAgain: MayTryAgain
   regionBudget: InterRegionBudget
+  /** True where calls may go to other regions without a volume of their operation. */
+  regionsOpen?: boolean
   latencies: Latencies
   clock: Clock
   /** Called for each retry that the ledger granted. */
@@ -52,13 +54,22 @@
   runLocally: (call: IncomingCall) => void
 }
 
+/** A call that has failed at one target and could be sent to another. */
+export type FailedCall = {
+  req: ForwardRequest
+  refusal: Refusal
+  /** Targets that the call was sent to, as far as is known. */
+  attempts: number
+  /** False only when the last target certainly did not get the call. */
+  reachedTarget: boolean
+}
+
+export type MayTryAgain = (failed: FailedCall) => boolean | Promise<boolean>
+
 /** Bytes of a call head on the wire beyond its headers; used for the account of inter-region traffic. */
 const HEAD_BYTES = 400
 /** Shortest time left with which a call may go to another region: two round trips of 40 ms. */
 const MIN_CROSS_REGION_MS = 80
-/** Upper bound of the calls that one request may cause at this hop, whatever the allowance. */
-const MAX_ATTEMPTS = 4
-
 type Attempt =
   | { kind: 'answer', call: OutgoingCall, head: ResponseHead, body: ByteQueue }
   | { kind: 'ended', call: OutgoingCall | undefined, reply: Exclude<CallReply, { kind: 'head' }> | { kind: 'notSent', message: string } }
@@ -102,15 +113,6 @@
     return options.regionBudget.reserve(req.root.customer, req.opKey, volume)
   }
 
-  const retryGranted = async (req: ForwardRequest, refusal: Refusal, attempts: number): Promise<boolean> => {
-    if (req.op === undefined || attempts >= MAX_ATTEMPTS || req.body.kind === 'stream' || req.deadline.signal.aborted) return false
-    const remainingMs = req.deadline.remainingMs()
-    if (!mayRetry({ refusal, repeatable: req.op.repeatable, remainingMs, p50Ms: latencies.p50Ms(req.opKey) })) return false
-    const granted = await options.askRetry(req.root, remainingMs)
-    if (granted) options.onRetry()
-    return granted
-  }
-
   const learn = (vmId: string, report: CallReport) => { if (report.load !== undefined) router.learn(vmId, report.load) }
 
   const forward = async (req: ForwardRequest): Promise<ForwardResult> => {
@@ -120,7 +122,8 @@
     let failure: Refusal | undefined
     for (;;) {
       const volume = reserveVolume(req, attempts.length)
-      const choice = router.pick({ service: req.service, exclude: tried, mayCrossRegion: volume !== undefined })
+      const mayCrossRegion = options.regionsOpen === true || volume !== undefined
+      const choice = router.pick({ service: req.service, exclude: tried, mayCrossRegion })
       if (choice.kind === 'none') {
         volume?.settle(0)
         return { kind: 'refused', refusal: failure ?? refusalOfNone(req.service, choice.reason), attempts, report }
@@ -163,7 +166,11 @@
       if (ended.kind === 'lost' && once !== undefined) return { kind: 'lost', token: once.token, message: ended.message, attempts, report }
       if (ended.kind !== 'failed') return { kind: 'refused', refusal: ended.kind === 'final' ? ended.refusal : cancelledRefusal(req), attempts, report }
       failure = ended.refusal
-      if (!(await retryGranted(req, failure, attempts.length))) return { kind: 'refused', refusal: failure, attempts, report }
+      const reachedTarget = reply.kind === 'refused' ? reply.report.reachedTarget === true : reply.kind !== 'notSent'
+      if (!(await options.mayTryAgain({ req, refusal: failure, attempts: attempts.length, reachedTarget }))) {
+        return { kind: 'refused', refusal: failure, attempts, report }
+      }
+      options.onRetry()
     }
   }
   return { forward }
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -19,3 +19,6 @@
 export * from './node.js'
 export * from './members/index.js'
 export * from './quotas/index.js'
+export { startRoutedNode, type RoutedNode, type RoutedNodeDeps } from './routes/routed-node.js'
+export type { CallHeaderNames } from './routes/call-headers.js'
+export type { Announcement } from './target/local-target.js'
--- a/packages/node/src/links/messages.ts
+++ b/packages/node/src/links/messages.ts
@@ -31,6 +31,8 @@
   pathLevel: number
   /** Inter-region bytes spent on the chain below. */
   regionBytes: number
+  /** The target got the call, although it came to nothing. */
+  reachedTarget?: boolean
   /** Absent when the answering node has no target. */
   load?: LoadReport
 }
--- a/packages/node/src/members/target-watch.ts
+++ b/packages/node/src/members/target-watch.ts
@@ -22,10 +22,12 @@
   log: Log
   /** Called with each change, not with each repetition. */
   publish: (target: TargetRecord) => void
+  /** Silence of the target after which it counts as gone, in ms. */
+  silenceMs?: number
 }
 
 /** Creates the watch over the local target's announcements. */
-export function createTargetWatch ({ clock, log, publish }: TargetWatchOptions): TargetWatch {
+export function createTargetWatch ({ clock, log, publish, silenceMs = TARGET_SILENCE_MS }: TargetWatchOptions): TargetWatch {
   const stopping = new AbortController()
   let current: TargetRecord | undefined
   let silentMs = 0
@@ -41,7 +43,7 @@
       const startMs = clock.nowMs()
       await clock.sleep(CHECK_INTERVAL_MS, stopping.signal)
       silentMs += Math.min(MAX_COUNTED_MS, clock.nowMs() - startMs)
-      if (stopping.signal.aborted || current === undefined || current.state === 'gone' || silentMs < TARGET_SILENCE_MS) continue
+      if (stopping.signal.aborted || current === undefined || current.state === 'gone' || silentMs < silenceMs) continue
       log.warn({ service: current.service, silentMs }, 'target no longer announces itself; it gets no work until it does')
       change({ ...current, state: 'gone' })
     }
--- a/packages/node/src/membership.ts
+++ b/packages/node/src/membership.ts
@@ -15,6 +15,8 @@
   const self = createSelfRecord({ vmId, role, host, ...ports, region, failureDomain }, clock)
   const onError = (err: Error) => log.debug({ err: err.message }, 'a gossip datagram was not sent')
   const socket = await openUdpSocket({ host: vm.address, port: ports.gossipPort }, onError)
-  const seeds = controls.filter((peer) => peer.vmId !== vm.id).map((peer) => ({ host: peer.address, port: peer.gossipPort }))
+  const seeds = [...controls.filter((peer) => peer.vmId !== vm.id), ...settings.discovery?.seeds ?? []]
+    .map((peer) => ({ host: peer.address, port: peer.gossipPort }))
+    .filter((seed) => seed.host !== host || seed.port !== ports.gossipPort)
   return createMembers({ self, seeds, fleetKey, clock, random, log, socket })
 }
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -26,6 +26,7 @@
 import { joinMembership } from './membership.js'
 import { createQuotas } from './quotas/quotas.js'
 import { createAskRetry } from './retries/ask-retry.js'
+import { createLedgerRetries } from './retries/ledger-retries.js'
 import { createRetryLedger } from './retries/retry-ledger.js'
 import { createInterRegionBudget } from './routing/inter-region-budget.js'
 import { createRouter } from './routing/router.js'
@@ -99,14 +100,15 @@
     onRejected: (remote, message) => log.warn({ remote }, `peer connection rejected: ${message}`)
   })
   const askRetry = createAskRetry({ clock, self: peerAddress, ledger, send: createRetryQuestion(pool) })
+  const latencies = createLatencies(clock)
   const forwarder = createForwarder({
     self: members.self,
     router: createRouter({ members, clock, random }),
     pool,
     // Without overload control the targets' own client libraries retry at each hop, unbounded by the ledger.
-    askRetry: cfg.overloadControl ? askRetry : async () => false,
+    mayTryAgain: cfg.overloadControl ? createLedgerRetries(askRetry, latencies) : () => false,
     regionBudget: createInterRegionBudget({ clock, share: () => 1 / Math.max(1, members.knownCount()) }),
-    latencies: createLatencies(clock),
+    latencies,
     clock,
     onRetry: stats.retried,
     runLocally: executor.execute
--- /dev/null
+++ b/packages/node/src/retries/ledger-retries.ts
@@ -0,0 +1,17 @@
+import type { AskRetry } from '@orioleslip/core'
+import type { MayTryAgain } from '../calls/forwarder.js'
+import type { Latencies } from '../limits/latencies.js'
+import { mayRetry } from './may-retry.js'
+
+/** Upper bound of the calls that one request may cause at this hop, whatever the allowance. */
+const MAX_ATTEMPTS = 4
+
+/** Retries listed operations within the allowance of the root request. */
+export function createLedgerRetries (askRetry: AskRetry, latencies: Latencies): MayTryAgain {
+  return async ({ req, refusal, attempts }) => {
+    if (req.op === undefined || attempts >= MAX_ATTEMPTS || req.body.kind === 'stream' || req.deadline.signal.aborted) return false
+    const remainingMs = req.deadline.remainingMs()
+    if (!mayRetry({ refusal, repeatable: req.op.repeatable, remainingMs, p50Ms: latencies.p50Ms(req.opKey) })) return false
+    return await askRetry(req.root, remainingMs)
+  }
+}
--- /dev/null
+++ b/packages/node/src/routes/repeat-budget.ts
@@ -0,0 +1,65 @@
+import type { Clock } from '@orioleslip/core'
+
+/** Bound on repeated sends per service, in sum over the fleet. */
+export type RepeatBudgetSettings = {
+  /** Repeats per first send. */
+  ratio: number
+  /** Repeats of the whole fleet in one window on top of that. */
+  extra: number
+  /** Length of the sliding window, in ms. */
+  windowMs: number
+}
+
+export type RepeatBudget = {
+  /** Counts the first send of a call to a service. */
+  firstSent: (service: string) => void
+  /** Takes one repeat; false when this node's part is used up. */
+  take: (service: string) => boolean
+}
+
+type Slot = { index: number, first: number, repeats: number }
+
+const SLOTS = 20
+/** A repeated call may repeat the calls below it, level by level; this share at each level keeps a chain of four within the ratio. */
+const LEVEL_SHARE = 0.2
+
+/**
+ * Creates this node's part of the budget. Each node repeats at most a share of its own first sends and its part of the extra, so that
+ * the sum over all nodes keeps to the bound in any window without any exchange between them.
+ */
+export function createRepeatBudget (opts: { clock: Clock, settings: RepeatBudgetSettings, nodes: () => number }): RepeatBudget {
+  const { clock, settings, nodes } = opts
+  const services = new Map<string, Slot[]>()
+  const slotMs = settings.windowMs / SLOTS
+
+  const slotsOf = (service: string): Slot[] => {
+    const known = services.get(service)
+    if (known !== undefined) return known
+    const slots = Array.from({ length: SLOTS + 1 }, (): Slot => ({ index: -1, first: 0, repeats: 0 }))
+    services.set(service, slots)
+    return slots
+  }
+  const current = (service: string): Slot => {
+    const index = Math.floor(clock.nowMs() / slotMs)
+    const slot = slotsOf(service)[index % (SLOTS + 1)]!
+    if (slot.index !== index) Object.assign(slot, { index, first: 0, repeats: 0 })
+    return slot
+  }
+  return {
+    firstSent: (service) => { current(service).first++ },
+    take: (service) => {
+      const slot = current(service)
+      let first = 0
+      let repeats = 0
+      for (const other of slotsOf(service)) {
+        if (other.index < slot.index - SLOTS) continue
+        first += other.first
+        repeats += other.repeats
+      }
+      const allowed = LEVEL_SHARE * (settings.ratio * first + settings.extra / Math.max(1, nodes()))
+      if (repeats + 1 > allowed) return false
+      slot.repeats++
+      return true
+    }
+  }
+}
--- /dev/null
+++ b/packages/node/src/routes/route-handler.ts
@@ -0,0 +1,184 @@
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import {
+  endToEndHeaders, headerValue, newTraceId, notRun, unknownOutcome,
+  type Clock, type MemberRecord, type Operation, type Refusal, type RootContext, type Route, type RoutesIndex
+} from '@orioleslip/core'
+import { err, ok, type Result } from 'neverthrow'
+import { writeAnswer, writeRefusal } from '../calls/answer-writer.js'
+import { startDeadline, type CallDeadline } from '../calls/call-deadline.js'
+import { bodyLength } from '../calls/entry-request.js'
+import type { AttemptRecord, Forwarder, ForwardResult } from '../calls/forwarder.js'
+import { withoutSetHeaders, type CallHeaderNames } from './call-headers.js'
+import type { DestinationChooser } from './destinations.js'
+import type { RepeatBudget } from './repeat-budget.js'
+import { priorityOfRank } from './route-priority.js'
+import { takeWholeBody } from './whole-body.js'
+
+/** How a routed request ended; one such record is logged for each request. */
+export type RouteEnding = {
+  requestId: string
+  route: string
+  service: string
+  revision: number
+  priority: number
+  status: number
+  outcome: string
+  detail: string
+  attempts: AttemptRecord[]
+  durationMs: number
+}
+
+export type RouteHandlerOptions = {
+  names: CallHeaderNames
+  /** Service of the target beside this node, which is where its requests originate. */
+  callerService: string
+  self: () => MemberRecord
+  /** Routes in force on this node; undefined until a control VM has confirmed them. */
+  routes: () => RoutesIndex | undefined
+  /** A refusal for requests that enter here while the node stops; undefined otherwise. */
+  closed: () => Refusal | undefined
+  chooseDestination: DestinationChooser
+  budget: RepeatBudget
+  forwarder: Forwarder
+  clock: Clock
+  onEnded: (ending: RouteEnding) => void
+}
+
+/** Bodies up to this size are held in memory, so that a call that did not run can be offered to another target. */
+const HELD_BODY_BYTES = 1024 * 1024
+
+type Admitted = { route: Route, requestId: string, revision: number, deadlineMs: number, bodyBytes: number | undefined }
+type Ended = Pick<RouteEnding, 'status' | 'outcome' | 'detail' | 'attempts'>
+
+/** Handles requests that clients and the target beside this node send on routes. */
+export function createRouteHandler (options: RouteHandlerOptions) {
+  const { names, routes, forwarder, clock } = options
+
+  const admit = (req: IncomingMessage, requestId: string): Result<Admitted, Refusal> => {
+    const index = routes()
+    if (index === undefined) return err(notRun('routes-unconfirmed', 'no control VM has confirmed the routes since this node started', 1))
+    const closed = options.closed()
+    if (closed !== undefined) return err(closed)
+    const path = (req.url ?? '').split('?')[0]!
+    const host = req.headers.host ?? ''
+    const route = index.lookup(host, path) ?? index.lookup(host.replace(/:\d+$/, ''), path)
+    if (route === undefined) return err(notRun('route-unknown', `version ${index.revision} has no route for host "${host}" and path "${path}"`))
+    const bodyBytes = bodyLength(req)
+    if ((bodyBytes ?? 0) > index.limits.maxBodyBytes) return err(notRun('body-too-large', `the body has ${bodyBytes} bytes; at most ${index.limits.maxBodyBytes} are allowed`))
+    const asked = Number(headerValue(req.rawHeaders, names.deadlineMs) ?? Infinity)
+    const deadlineMs = Math.min(Number.isNaN(asked) ? Infinity : asked, route.timeoutMs)
+    return ok({ route, requestId, revision: index.revision, deadlineMs, bodyBytes })
+  }
+
+  const rootOf = ({ route, requestId }: Admitted): RootContext => {
+    const self = options.self()
+    return {
+      requestId,
+      traceId: requestId,
+      customer: '',
+      entryOpKey: route.name,
+      priority: priorityOfRank(route.rank, requestId),
+      ledger: { host: self.host, port: self.peerPort },
+      region: self.region
+    }
+  }
+
+  const forward = async (
+    req: IncomingMessage, admitted: Admitted, root: RootContext, service: string, deadline: CallDeadline
+  ): Promise<ForwardResult> => {
+    const { route } = admitted
+    const body = await takeWholeBody(req, admitted.bodyBytes, HELD_BODY_BYTES)
+    options.budget.firstSent(service)
+    return await forwarder.forward({
+      root,
+      service,
+      method: req.method ?? 'GET',
+      path: req.url ?? '/',
+      headers: [
+        'host', req.headers.host ?? '',
+        ...withoutSetHeaders(endToEndHeaders(req.rawHeaders), names),
+        names.callerService, options.callerService
+      ],
+      opKey: route.name,
+      op: operationOf(route, service),
+      body,
+      deadline,
+      traceFlags: '00',
+      onceKey: undefined
+    })
+  }
+
+  const serve = async (req: IncomingMessage, res: ServerResponse, requestId: string, work: Promise<ForwardResult>): Promise<Ended> => {
+    const result = await work
+    if (result.kind === 'answer') {
+      const finish = await writeAnswer(res, result.head, result.body, result.finish, [])
+      result.settle(finish)
+      const complete = finish.kind === 'complete'
+      return {
+        status: result.head.status,
+        outcome: complete ? 'complete' : 'unknown',
+        detail: complete ? '' : `the answer broke off: ${finish.kind}`,
+        attempts: result.attempts
+      }
+    }
+    const refusal = result.kind === 'refused' ? result.refusal : unknownOutcome('target-lost', result.message)
+    return refuse(req, res, requestId, refusal, result.attempts)
+  }
+
+  const handleOpen = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
+    const startedMs = clock.nowMs()
+    const requestId = headerValue(req.rawHeaders, names.requestId) ?? newTraceId()
+    const admitted = admit(req, requestId)
+    const note = (ended: Ended, facts: Pick<RouteEnding, 'route' | 'service' | 'revision' | 'priority'>) =>
+      options.onEnded({ requestId, ...facts, ...ended, durationMs: clock.nowMs() - startedMs })
+    if (admitted.isErr()) {
+      return note(refuse(req, res, requestId, admitted.error, []), { route: '', service: '', revision: routes()?.revision ?? 0, priority: 0 })
+    }
+    const gone = new AbortController()
+    res.on('close', () => { if (!res.writableFinished) gone.abort() })
+    const { route, revision, deadlineMs } = admitted.value
+    const deadline = startDeadline(deadlineMs, clock.nowMs, gone.signal)
+    const root = rootOf(admitted.value)
+    const service = options.chooseDestination(route)
+    let ended: Ended
+    try {
+      ended = await serve(req, res, requestId, forward(req, admitted.value, root, service, deadline))
+    } catch (cause) {
+      ended = refuse(req, res, requestId, unknownOutcome('internal-error', cause instanceof Error ? cause.message : String(cause)), [])
+    }
+    deadline.done()
+    note(ended, { route: route.name, service, revision, priority: root.priority })
+  }
+
+  let openRequests = 0
+  return {
+    /** Handles one request to its end; never rejects. */
+    handle: async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
+      openRequests++
+      try {
+        await handleOpen(req, res)
+      } finally {
+        openRequests--
+      }
+    },
+    openRequests: () => openRequests
+  }
+}
+
+function refuse (req: IncomingMessage, res: ServerResponse, requestId: string, refusal: Refusal, attempts: AttemptRecord[]): Ended {
+  writeRefusal(req, res, refusal, requestId)
+  return { status: 0, outcome: refusal.outcome, detail: `${refusal.code}: ${refusal.detail}`, attempts }
+}
+
+/** The part of a route that decides on the calls below the entry. */
+function operationOf (route: Route, service: string): Operation {
+  return {
+    service,
+    method: 'GET',
+    path: route.prefix,
+    importance: route.repeat === 'safe' ? 'browse' : 'claim',
+    repeatable: route.repeat === 'safe',
+    timeoutMs: route.timeoutMs,
+    interRegionBytesPerSecond: 0
+  }
+}
--- /dev/null
+++ b/packages/node/src/routes/routed-node.ts
@@ -0,0 +1,185 @@
+import { LEVEL_INTERVAL_MS, notRun, systemClock, systemRandom, type Clock, type PeerAddress, type Random, type Settings } from '@orioleslip/core'
+import type { Logger } from 'pino'
+import { createTargetGate } from '../admission/target-gate.js'
+import { createExecutor } from '../calls/executor.js'
+import { createForwarder } from '../calls/forwarder.js'
+import { createInboundCalls } from '../calls/inbound-calls.js'
+import type { OnceGuard } from '../idempotency/once-guard.js'
+import { createAnnouncedLimit } from '../limits/announced-limit.js'
+import { createLatencies } from '../limits/latencies.js'
+import { listenForPeers } from '../links/listener.js'
+import { createPeerPool } from '../links/pool.js'
+import { createTargetWatch } from '../members/target-watch.js'
+import { joinMembership } from '../membership.js'
+import type { RunningNode } from '../node.js'
+import { createRouter } from '../routing/router.js'
+import { startCallerServer } from '../server/caller-server.js'
+import { createAvailability } from '../server/drain.js'
+import { createPlannedStop } from '../server/planned-stop.js'
+import { createLocalTarget, type Announcement } from '../target/local-target.js'
+import { createAnswerJudge, createRoutedTargetHeaders, type CallHeaderNames } from './call-headers.js'
+import { createDestinationChooser } from './destinations.js'
+import { createRepeatBudget } from './repeat-budget.js'
+import { createRouteHandler, type RouteEnding } from './route-handler.js'
+import { createRoutedRetries } from './routed-retries.js'
+import { createRoutesPoller } from './routes-poller.js'
+
+export type RoutedNodeDeps = {
+  log: Logger
+  /** Names of the headers on calls in this deployment. */
+  names: CallHeaderNames
+  /** Service of the target beside this node. */
+  callerService: string
+  clock?: Clock
+  random?: Random
+}
+
+/** A running node that follows routes. */
+export type RoutedNode = RunningNode & {
+  /** Takes an announcement of the target beside this node; false when it is older than the one in effect. */
+  announce: (announcement: Announcement) => boolean
+  /** The target of this instance has said that it ends; false when another one is in effect. */
+  withdraw: (instance: string) => boolean
+  /** True while callers should send their requests here. */
+  isReady: () => boolean
+}
+
+/** Idle connections of callers are kept this long before any routes are known, in ms. */
+const DEFAULT_IDLE_TIMEOUT_MS = 15_000
+
+/** Starts the process beside a target in a fleet that follows routes; rejects when a port can't be opened. */
+export async function startRoutedNode (settings: Settings, deps: RoutedNodeDeps): Promise<RoutedNode> {
+  const { log, names } = deps
+  const clock = deps.clock ?? systemClock
+  const random = deps.random ?? systemRandom
+  const { vm, node: cfg, discovery, auth: { fleetKey } } = settings
+  if (cfg === undefined || discovery === undefined) throw new Error('the settings need a [node] and a [discovery] table')
+  const peerAddress: PeerAddress = { host: vm.address, port: cfg.peerPort }
+
+  const members = await joinMembership(settings, { log, clock, random })
+  const poller = createRoutesPoller({ seeds: discovery.seeds, members, fleetKey, vmId: vm.id, log, clock, random })
+  const routes = () => poller.confirmed ? poller.current() : undefined
+  const availability = createAvailability(clock, cfg.leaveSpreadMs)
+  const inbound = createInboundCalls(clock.nowMs)
+  const gate = createTargetGate({ clock, limiter: createAnnouncedLimit() })
+  const target = createLocalTarget(vm.address, { acceptUnframed: true })
+  target.onStarted(gate.targetStarted)
+  const watch = createTargetWatch({ clock, log, publish: (record) => members.announceTarget(record), silenceMs: cfg.targetSilenceMs })
+  const pool = createPeerPool({ fleetKey, vmId: vm.id }, () => undefined)
+  const executor = createExecutor({
+    target,
+    gate,
+    inbound,
+    guard: noGuard,
+    clock,
+    // After a freeze the fleet may have given this node's work to others; it takes none until it has refuted its failure.
+    closedFor: () => members.isConfirmed() ? availability.targetClosed() : notRun('no-target', 'the node is not yet a confirmed member', 1),
+    targetHeaders: createRoutedTargetHeaders(names),
+    judgeAnswer: createAnswerJudge(names)
+  })
+  const listener = await listenForPeers({
+    address: peerAddress,
+    identity: { fleetKey, vmId: vm.id },
+    handlers: { onCall: executor.execute, onAsk: () => undefined },
+    onRejected: (remote, message) => log.warn({ event: 'peer-rejected', remote }, `peer connection rejected: ${message}`)
+  })
+  const budget = createRepeatBudget({
+    clock,
+    settings: { ratio: cfg.repeatBudget.ratio, extra: cfg.repeatBudget.extra, windowMs: cfg.repeatBudget.windowS * 1000 },
+    nodes: members.knownCount
+  })
+  const forwarder = createForwarder({
+    self: members.self,
+    router: createRouter({ members, clock, random }),
+    pool,
+    mayTryAgain: createRoutedRetries(budget, (opKey) => routes()?.maxAttempts(opKey) ?? 1),
+    regionBudget: { reserve: () => undefined },
+    regionsOpen: true,
+    latencies: createLatencies(clock),
+    clock,
+    onRetry: () => {},
+    runLocally: executor.execute
+  })
+  const handler = createRouteHandler({
+    names,
+    callerService: deps.callerService,
+    self: members.self,
+    routes,
+    closed: availability.entryClosed,
+    chooseDestination: createDestinationChooser(),
+    budget,
+    forwarder,
+    clock,
+    onEnded: (ending) => logEnding(log, ending)
+  })
+  const limits = () => ({ idleTimeoutMs: poller.current()?.limits.idleTimeoutMs ?? DEFAULT_IDLE_TIMEOUT_MS })
+  const callerAddress = { host: vm.address, port: cfg.callerPort }
+  const server = await startCallerServer(callerAddress, handler.handle, handler.handle, availability.stopping, limits)
+  const levelTimer = setInterval(gate.tick, LEVEL_INTERVAL_MS)
+  members.start()
+  watch.start()
+  log.info({ event: 'start', vmId: vm.id, callerPort: cfg.callerPort, peerPort: cfg.peerPort }, 'node started')
+
+  const stop = async () => {
+    clearInterval(levelTimer)
+    watch.stop()
+    members.stop()
+    server.abort()
+    pool.close()
+    await Promise.all([server.drain(), listener.close(), poller.stop()])
+  }
+  const announceLeaving = () => {
+    const announced = target.current()?.announcement
+    if (announced !== undefined) watch.announce({ service: announced.service, capacity: announced.capacity, state: 'leaving' })
+  }
+  const drain = createPlannedStop({
+    availability,
+    members,
+    openWork: { inbound, openRequests: handler.openRequests },
+    announceLeaving,
+    recordsWritten: () => Promise.resolve(),
+    requestsEnded: server.drain,
+    drainTimeoutS: cfg.drainTimeoutS,
+    clock,
+    log,
+    stop
+  })
+  return {
+    drain,
+    stop,
+    isReady: () => !availability.stopping() && routes() !== undefined && members.isConfirmed(),
+    announce: (announcement) => {
+      const before = target.current()?.announcement
+      const taken = target.announce(announcement)
+      const { service, capacity, state, instance } = announcement
+      if (!taken) {
+        log.info({ event: 'announcement-ignored', instance, sequence: announcement.sequence }, 'ignored an announcement older than the one in effect')
+        return false
+      }
+      if (before?.instance !== instance || before.state !== state) {
+        log.info({ event: 'target', instance, service, state }, 'the target beside this node has announced a new state')
+      }
+      availability.announced(state)
+      watch.announce({ service, capacity, state: availability.stopping() ? 'leaving' : state })
+      return true
+    },
+    withdraw: (instance) => {
+      const withdrawn = target.withdraw(instance)
+      log.info({ event: 'target', instance, state: 'leaving', withdrawn }, 'the target beside this node has withdrawn')
+      if (!withdrawn) return false
+      availability.announced('leaving')
+      announceLeaving()
+      return true
+    }
+  }
+}
+
+/** Requests with an idempotency key of this project's own interface don't occur on routes. */
+const noGuard: Pick<OnceGuard, 'begin'> = {
+  begin: () => Promise.resolve({ kind: 'refuse', refusal: notRun('bad-request', 'routed calls carry no idempotency key') })
+}
+
+function logEnding (log: Logger, ending: RouteEnding): void {
+  if (ending.outcome === 'complete' && ending.status < 500) log.debug({ event: 'request', ...ending }, 'request ended')
+  else log.info({ event: 'request', ...ending }, 'request failed')
+}
--- a/packages/node/src/server/caller-server.ts
+++ b/packages/node/src/server/caller-server.ts
@@ -11,24 +11,31 @@
   abort: () => void
 }
 
+/** Bounds on what callers may send and how long their connections stay idle; read for each request. */
+export type CallerLimits = { idleTimeoutMs: number }
+
 /** Idle connections are kept longer than most clients keep theirs, so that the client closes first. */
 const KEEP_ALIVE_MS = 65_000
 const HEADERS_TIMEOUT_MS = 10_000
+const MAX_HEADER_BYTES = 64 * 1024
 
 /**
  * Serves callers and the local target; rejects when the port can't be opened. While `stopping` is true every response closes its
  * connection, refusals included: a client that keeps a connection until the process ends loses the request it sends at that moment.
  */
 export async function startCallerServer (
-  address: PeerAddress, onCall: RequestListener, onWellKnown: RequestListener, stopping: () => boolean = () => false
+  address: PeerAddress, onCall: RequestListener, onWellKnown: RequestListener, stopping: () => boolean = () => false,
+  limits: () => CallerLimits = () => ({ idleTimeoutMs: KEEP_ALIVE_MS })
 ): Promise<CallerServer> {
   const listener = (req: IncomingMessage, res: ServerResponse) => {
     if (stopping()) res.shouldKeepAlive = false
+    server.keepAliveTimeout = limits().idleTimeoutMs
     const handle = req.url?.startsWith(WELL_KNOWN_PREFIX) === true ? onWellKnown : onCall
     handle(req, res).catch(() => res.destroy())
   }
   const server = createServer({
-    keepAliveTimeout: KEEP_ALIVE_MS,
+    keepAliveTimeout: limits().idleTimeoutMs,
+    maxHeaderSize: MAX_HEADER_BYTES,
     headersTimeout: HEADERS_TIMEOUT_MS,
     // Uploads may take longer than the default limit; the deadline of the call bounds them.
     requestTimeout: 0,
--- a/packages/node/src/server/drain.ts
+++ b/packages/node/src/server/drain.ts
@@ -17,20 +17,20 @@
   announced: (state: Announcement['state']) => void
 }
 
-/** Tracks the planned stop of this node and the announced state of its target. */
-export function createAvailability (clock: Clock): Availability {
+/** Tracks the planned stop of this node and the announced state of its target, which takes new work for `leaveSpreadMs` after it leaves. */
+export function createAvailability (clock: Clock, leaveSpreadMs = LEAVE_SPREAD_MS): Availability {
   let stoppedMs: number | undefined
   let leavingMs: number | undefined
   let state: Announcement['state'] | undefined
-  const spread = (sinceMs: number | undefined) => sinceMs !== undefined && clock.nowMs() - sinceMs >= LEAVE_SPREAD_MS
+  const past = (sinceMs: number | undefined, spreadMs: number) => sinceMs !== undefined && clock.nowMs() - sinceMs >= spreadMs
   return {
     targetClosed: () => {
-      if (spread(stoppedMs)) return notRun('draining', 'the node is stopping', 1)
-      if (spread(leavingMs)) return notRun('draining', 'the target is leaving', 1)
+      if (past(stoppedMs, leaveSpreadMs)) return notRun('draining', 'the node is stopping', 1)
+      if (past(leavingMs, leaveSpreadMs)) return notRun('draining', 'the target is leaving', 1)
       if (state === 'starting') return notRun('no-target', 'the target is starting', 1)
       return undefined
     },
-    entryClosed: () => spread(stoppedMs) ? notRun('draining', 'the node is stopping', 1) : undefined,
+    entryClosed: () => past(stoppedMs, LEAVE_SPREAD_MS) ? notRun('draining', 'the node is stopping', 1) : undefined,
     stopping: () => stoppedMs !== undefined,
     stop: () => { stoppedMs ??= clock.nowMs() },
     announced: (announced) => {
--- a/packages/node/src/server/planned-stop.ts
+++ b/packages/node/src/server/planned-stop.ts
@@ -34,10 +34,12 @@
     availability.stop()
     options.announceLeaving()
     await clock.sleep(LEAVE_SPREAD_MS)
+    // The last state spreads while calls end, so that the whole stop stays short.
+    const gone = members.leave()
     const left = await waitForOpenWork(openWork, drainTimeoutS * 1000, clock)
     if (left > 0) log.warn({ left, drainTimeoutS }, 'the drain timeout has passed; calls in flight are cut; raise node.drainTimeoutS')
     await Promise.race([options.recordsWritten(), clock.sleep(RECORD_PATIENCE_MS)])
-    await members.leave()
+    await gone
     // Requests that came since are being refused; cutting them would hide from callers that they did not run.
     await Promise.race([options.requestsEnded(), clock.sleep(CLOSE_PATIENCE_MS)])
     await options.stop()
--- a/packages/node/src/target/target-client.ts
+++ b/packages/node/src/target/target-client.ts
@@ -1,6 +1,6 @@
 import { Readable } from 'node:stream'
 import { endToEndHeaders, headerValue, type PeerAddress } from '@orioleslip/core'
-import { Pool, type Dispatcher } from 'undici'
+import { buildConnector, Pool, type Dispatcher } from 'undici'
 import { createByteQueue, type ByteQueue } from '../links/byte-queue.js'
 
 /** Body of a call to the target. */
@@ -13,9 +13,21 @@
 
 /** First result of a call to the target. `sent` is false only when no byte was written to the target. */
 export type TargetReply =
-  | { kind: 'head', status: number, headers: string[], body: Pick<ByteQueue, 'read'> }
+  | {
+    kind: 'head'
+    status: number
+    headers: string[]
+    body: Pick<ByteQueue, 'read'>
+    /** Drops the answer and its connection. */
+    abort: () => void
+  }
   | { kind: 'failed', sent: boolean, message: string }
 
+export type TargetClientOptions = {
+  /** Takes answers without length, which end with their connection; only a reset then shows that one is incomplete. */
+  acceptUnframed?: boolean
+}
+
 export type TargetClient = {
   run: (req: TargetRequest) => Promise<TargetReply>
   close: () => Promise<void>
@@ -28,18 +40,21 @@
 const KEEP_ALIVE_MS = 4000
 
 /** Connections to the target beside this node; `maxConnections` bounds the calls that reach it at once. */
-export function createTargetClient (address: PeerAddress, maxConnections: number): TargetClient {
+export function createTargetClient (address: PeerAddress, maxConnections: number, options: TargetClientOptions = {}): TargetClient {
+  const resets = createResetWatch()
   const pool = new Pool(`http://${address.host}:${address.port}`, {
     connections: maxConnections,
     pipelining: 1,
-    connect: { timeout: CONNECT_TIMEOUT_MS },
+    connect: resets.connect,
     keepAliveTimeout: KEEP_ALIVE_MS,
     // The deadline of the call bounds both; these timers would only duplicate it.
     headersTimeout: 0,
     bodyTimeout: 0
   })
   return {
-    run: (req) => new Promise((resolve) => { pool.dispatch(dispatchOptions(req), createHandler(req, resolve)) }),
+    run: (req) => new Promise((resolve) => {
+      pool.dispatch(dispatchOptions(req), createHandler(req, resolve, { ...options, resetInProgress: resets.inProgress }))
+    }),
     close: () => pool.close()
   }
 }
@@ -65,8 +80,30 @@
   }
 }
 
-function createHandler (req: TargetRequest, resolve: (reply: TargetReply) => void): Dispatcher.DispatchHandler {
+/**
+ * Tells whether a connection is being reset. undici takes a reset for the end of an answer without length; such an answer is incomplete.
+ * The flag is set by a listener that runs before undici's own and holds until the event has been handled.
+ */
+function createResetWatch () {
+  const connector = buildConnector({ timeout: CONNECT_TIMEOUT_MS })
+  let inProgress = false
+  const onError = () => {
+    inProgress = true
+    process.nextTick(() => { inProgress = false })
+  }
+  const connect: buildConnector.connector = (opts, callback) => connector(opts, (...result) => {
+    result[1]?.prependListener('error', onError)
+    callback(...result)
+  })
+  return { connect, inProgress: () => inProgress }
+}
+
+function createHandler (
+  req: TargetRequest, resolve: (reply: TargetReply) => void,
+  { acceptUnframed = false, resetInProgress }: TargetClientOptions & { resetInProgress: () => boolean }
+): Dispatcher.DispatchHandler {
   let sent = false
+  let framed = true
   let controller: Dispatcher.DispatchController | undefined
   let paused = false
   const body = createByteQueue(() => {
@@ -91,11 +128,12 @@
     onResponseStart: (_controller, status, _headers) => {
       if (status < 200) return
       const raw = toStrings(_controller.rawHeaders)
-      if (!isFramed(req.method, status, raw)) {
+      framed = isFramed(req.method, status, raw)
+      if (!framed && !acceptUnframed) {
         fail('the answer has neither Content-Length nor chunked encoding, so that its end can\'t be checked')
         return abort()
       }
-      resolve({ kind: 'head', status, headers: endToEndHeaders(raw), body })
+      resolve({ kind: 'head', status, headers: endToEndHeaders(raw), body, abort })
     },
     onResponseData: (_controller, chunk) => {
       body.push(chunk)
@@ -104,6 +142,7 @@
       controller?.pause()
     },
     onResponseEnd: () => {
+      if (!framed && resetInProgress()) return fail('the connection was reset before the end of an answer without length')
       req.signal.removeEventListener('abort', abort)
       body.end()
     },
--- a/packages/node/src/testing/node-pair.ts
+++ b/packages/node/src/testing/node-pair.ts
@@ -17,6 +17,7 @@
 import { createLatencies } from '../limits/latencies.js'
 import { listenForPeers } from '../links/listener.js'
 import { createPeerPool } from '../links/pool.js'
+import { createLedgerRetries } from '../retries/ledger-retries.js'
 import { createRetryLedger } from '../retries/retry-ledger.js'
 import { createInterRegionBudget } from '../routing/inter-region-budget.js'
 import { startCallerServer } from '../server/caller-server.js'
@@ -105,13 +106,14 @@
     picks++
     return { kind: 'route', member: executorMember, crossesRegion: executorMember.region !== entry.region }
   }
+  const latencies = createLatencies(clock)
   const forwarder = createForwarder({
     self: () => entry,
     router: { pick, learn: () => {}, sent: () => {}, settled: () => {} },
     pool,
-    askRetry: async (ctx) => ledger.take(ctx.requestId),
+    mayTryAgain: createLedgerRetries(async (ctx) => ledger.take(ctx.requestId), latencies),
     regionBudget: createInterRegionBudget({ clock, share: () => 1 }),
-    latencies: createLatencies(clock),
+    latencies,
     clock,
     onRetry: stats.retried,
     runLocally: () => { throw new Error('the entry has no target') }
