--- a/packages/node/src/routes/decisions.test.ts
+++ b/packages/node/src/routes/decisions.test.ts
@@ -67,7 +67,10 @@
 
 test('a higher rank gets a higher priority than every lower one', (t) => {
   const ids = Array.from({ length: 50 }, (_, i) => `id-${i}`)
-  for (const rank of [0, 1]) t.true(Math.min(...ids.map((id) => priorityOfRank(rank, id))) > Math.max(...ids.map((id) => priorityOfRank(rank + 1, id))))
+  for (const rank of [0, 1]) {
+    const lowest = Math.min(...ids.map((id) => priorityOfRank(rank, id)))
+    t.true(lowest > Math.max(...ids.map((id) => priorityOfRank(rank + 1, id))))
+  }
 })
 
 const failed = (refusal: Refusal, over: Partial<FailedCall> = {}, repeatable = true) => ({
