Pass answers without length on without a frame

Cause: an answer without length that a crashing server cut ends with FIN like a whole one. Ruled out: a reset that undici takes for the end, which is recognised already. Change: such answers keep their form up to the caller, and a known cut resets the caller's connection.

--- a/packages/node/src/calls/answer-writer.ts
+++ b/packages/node/src/calls/answer-writer.ts
@@ -39,10 +39,17 @@
   req.resume()
 }
 
-/** Passes an answer on; an answer that breaks off destroys the caller's connection, so that it can't look complete. */
+/**
+ * Passes an answer on; an answer that breaks off destroys the caller's connection, so that it can't look complete. An answer without
+ * length stays one: framing it would claim that it is whole.
+ */
 export async function writeAnswer (
   res: ServerResponse, head: ResponseHead, body: ByteQueue, finish: Promise<CallFinish>, extraHeaders: string[]
 ): Promise<CallFinish> {
+  if (head.unframed === true) {
+    res.useChunkedEncodingByDefault = false
+    res.shouldKeepAlive = false
+  }
   res.writeHead(head.status, [...head.headers, ...extraHeaders])
   try {
     for (;;) {
@@ -51,15 +58,21 @@
       if (!res.write(chunk)) await drained(res)
     }
   } catch {
-    res.destroy()
+    cut(res, head)
     return finish
   }
   const end = await finish
   if (end.kind === 'complete') res.end()
-  else res.destroy()
+  else cut(res, head)
   return end
 }
 
+/** Breaks off an answer. Where its end is that of the connection, only a reset shows that it is incomplete. */
+function cut (res: ServerResponse, head: ResponseHead): void {
+  if (head.unframed === true) res.socket?.resetAndDestroy()
+  res.destroy()
+}
+
 /** Resolves when the response takes more bytes or its connection is gone. */
 function drained (res: ServerResponse): Promise<void> {
   if (res.destroyed) return Promise.resolve()
--- a/packages/node/src/calls/executor.ts
+++ b/packages/node/src/calls/executor.ts
@@ -230,7 +230,7 @@
     if (once !== undefined) {
       await recordAnswer(passage, once)
     } else {
-      call.respond({ status: reply.status, headers: reply.headers })
+      call.respond({ status: reply.status, headers: reply.headers, ...(reply.unframed ? { unframed: true } : {}) })
       await pumpAnswer(call, reply.body, () => {})
     }
     call.end(report())
--- a/packages/node/src/links/messages.ts
+++ b/packages/node/src/links/messages.ts
@@ -23,7 +23,8 @@
   once?: { key: string, token: string }
 }
 
-export type ResponseHead = { status: number, headers: string[] }
+/** `unframed` marks an answer without length, whose end is that of the target's connection. */
+export type ResponseHead = { status: number, headers: string[], unframed?: boolean }
 
 /** Facts that come back with every result of a call. */
 export type CallReport = {
--- a/packages/node/src/target/target-client.ts
+++ b/packages/node/src/target/target-client.ts
@@ -17,6 +17,8 @@
     kind: 'head'
     status: number
     headers: string[]
+    /** The answer has no length and ends with its connection, so a target that dies may have cut it. */
+    unframed: boolean
     body: Pick<ByteQueue, 'read'>
     /** Drops the answer and its connection. */
     abort: () => void
@@ -133,7 +135,7 @@
         fail('the answer has neither Content-Length nor chunked encoding, so that its end can\'t be checked')
         return abort()
       }
-      resolve({ kind: 'head', status, headers: endToEndHeaders(raw), body, abort })
+      resolve({ kind: 'head', status, headers: endToEndHeaders(raw), unframed: !framed, body, abort })
     },
     onResponseData: (_controller, chunk) => {
       body.push(chunk)
