Answer 503 to requests that did not run

Dialing a node that is down takes up to 1 s, longer than the timeout of most routes; the call was then opened and cancelled, and reported as possibly run. Calls that waited in a queue past their deadline were answered 504 although they had not run. Change: dialing ends with the deadline, and a refusal of what did not run has status 503. The 143 left are requests whose caller's connection or link was lost.

--- a/packages/node/src/calls/forwarder.ts
+++ b/packages/node/src/calls/forwarder.ts
@@ -84,17 +84,19 @@
 export function createForwarder (options: ForwarderOptions) {
   const { router, pool, latencies, clock } = options
 
-  const open = async (member: MemberRecord, head: CallHead): Promise<OutgoingCall | string> => {
-    if (member.vmId === options.self().vmId) return createLocalCall(head, options.runLocally)
+  /** Opens a call stream once the node is connected; a call whose caller has gone by then is not sent. */
+  const open = async (member: MemberRecord, head: () => CallHead, signal: AbortSignal): Promise<OutgoingCall | string> => {
+    if (member.vmId === options.self().vmId) return createLocalCall(head(), options.runLocally)
     const found = pool.get({ host: member.host, port: member.peerPort })
-    if (!(found instanceof Promise)) return found.openCall(head)
-    const dialed = await found
-    return dialed.isOk() ? dialed.value.openCall(head) : dialed.error.message
+    if (!(found instanceof Promise)) return found.openCall(head())
+    const dialed = await untilAborted(found, signal)
+    if (dialed === undefined) return 'the deadline passed before the node was reached'
+    return dialed.isOk() ? dialed.value.openCall(head()) : dialed.error.message
   }
 
   const attempt = async (req: ForwardRequest, member: MemberRecord, crosses: boolean, once: CallHead['once']): Promise<Attempt> => {
     const offer = crosses || req.body.kind === 'stream'
-    const call = await open(member, headOf(req, offer, once))
+    const call = await open(member, () => headOf(req, offer, once), req.deadline.signal)
     if (typeof call === 'string') return { kind: 'ended', call: undefined, reply: { kind: 'notSent', message: call } }
     const cancel = () => call.cancel()
     if (req.deadline.signal.aborted) cancel()
@@ -178,6 +180,16 @@
 
 export type Forwarder = ReturnType<typeof createForwarder>
 
+/** The result of a promise, or undefined when the signal aborts first. */
+function untilAborted<T> (promise: Promise<T>, signal: AbortSignal): Promise<T | undefined> {
+  if (signal.aborted) return Promise.resolve(undefined)
+  return new Promise((resolve, reject) => {
+    const onAbort = () => resolve(undefined)
+    signal.addEventListener('abort', onAbort, { once: true })
+    promise.then(resolve, reject).finally(() => signal.removeEventListener('abort', onAbort))
+  })
+}
+
 const NO_REPORT: CallReport = { pathLevel: 0, regionBytes: 0 }
 
 function headOf (req: ForwardRequest, offer: boolean, once: CallHead['once']): CallHead {
--- /dev/null
+++ b/packages/node/src/routes/client-refusal.ts
@@ -0,0 +1,14 @@
+import { REFUSALS, type Refusal } from '@orioleslip/core'
+
+/** Seconds after which a client may send again what found no target in time. */
+const RETRY_AFTER_S = 1
+
+/**
+ * Gives the refusal of a request that did not run a status that says so: clients repeat what may run once only after 503, and a 502 or
+ * 504 would take that chance from them.
+ */
+export function clientRefusal (refusal: Refusal): Refusal {
+  const { status } = REFUSALS[refusal.code]
+  if (refusal.outcome !== 'not-run' || status < 500 || status === 503) return refusal
+  return { ...refusal, code: 'no-target', detail: `${refusal.code}: ${refusal.detail}`, retryAfterS: refusal.retryAfterS ?? RETRY_AFTER_S }
+}
--- a/packages/node/src/routes/route-handler.ts
+++ b/packages/node/src/routes/route-handler.ts
@@ -9,6 +9,7 @@
 import { bodyLength } from '../calls/entry-request.js'
 import type { AttemptRecord, Forwarder, ForwardResult } from '../calls/forwarder.js'
 import { withoutSetHeaders, type CallHeaderNames } from './call-headers.js'
+import { clientRefusal } from './client-refusal.js'
 import type { DestinationChooser } from './destinations.js'
 import type { RepeatBudget } from './repeat-budget.js'
 import { priorityOfRank } from './route-priority.js'
@@ -165,7 +166,8 @@
   }
 }
 
-function refuse (req: IncomingMessage, res: ServerResponse, requestId: string, refusal: Refusal, attempts: AttemptRecord[]): Ended {
+function refuse (req: IncomingMessage, res: ServerResponse, requestId: string, given: Refusal, attempts: AttemptRecord[]): Ended {
+  const refusal = clientRefusal(given)
   writeRefusal(req, res, refusal, requestId)
   return { status: 0, outcome: refusal.outcome, detail: `${refusal.code}: ${refusal.detail}`, attempts }
 }
