Give a silent control VM up in time for the next routes

Two core machines had lost power at 9.5 s; a node whose poll was held by one of them waited up to 3.5 s for its answer before it asked another. Change: nodes that follow routes ask for a hold of 1 s and give a control VM up after 1.4 s; the poller itself enforces it. Measurement: the test fails with the former hold and passes now.

--- a/packages/node/src/documents/document-poller.ts
+++ b/packages/node/src/documents/document-poller.ts
@@ -4,6 +4,12 @@
 /** Time for which a control VM is asked to hold a poll, in ms. */
 export const POLL_WAIT_MS = 3000
 
+/**
+ * Time beyond the hold after which a control VM counts as out of contact, in ms. Hold, margin and the next control VM stay within the 6 s
+ * in which an edit must be in effect.
+ */
+export const ANSWER_MARGIN_MS = 1000
+
 /** One poll of a node; `revision` is -1 before it has a document. */
 export type PollInput = { vmId: string, revision: number, waitMs: number, callerAddress?: string }
 
@@ -47,6 +53,10 @@
   random: Random
   /** `address:port` of the caller listener, shown by `orioleslip fleet`. */
   callerAddress?: string
+  /** Time for which a control VM is asked to hold a poll, in ms. */
+  holdMs?: number
+  /** Time beyond the hold after which a control VM that does not answer is given up, in ms. */
+  answerMarginMs?: number
 }
 
 const BACKOFF_MIN_MS = 100
@@ -57,7 +67,7 @@
 export function createDocumentPoller<Doc extends { revision: number }, Change, Index> (
   options: DocumentPollerOptions<Doc, Change, Index>
 ): DocumentPoller<Index> {
-  const { subject, targets, vmId, log, clock, random, callerAddress } = options
+  const { subject, targets, vmId, log, clock, random, callerAddress, holdMs = POLL_WAIT_MS, answerMarginMs = ANSWER_MARGIN_MS } = options
   const listeners = new Set<() => void>()
   const stopping = new AbortController()
   // One per poll: clients don't always remove their listeners from a signal.
@@ -100,10 +110,13 @@
   /** One poll; true when the control VM may be asked again at once. */
   async function poll (target: PollTarget<Change>): Promise<boolean> {
     polling = new AbortController()
+    const current = polling
+    const answered = new AbortController()
+    clock.sleep(holdMs + answerMarginMs, answered.signal).then(() => { if (!answered.signal.aborted) current.abort() })
     const asked = needsFull ? -1 : revision()
     try {
       const answer = await target.since({
-        vmId, revision: asked, waitMs: POLL_WAIT_MS, ...(callerAddress === undefined ? {} : { callerAddress })
+        vmId, revision: asked, waitMs: holdMs, ...(callerAddress === undefined ? {} : { callerAddress })
       }, polling.signal)
       const applied = apply(answer.change, target.vmId)
       if (!answer.confirmed) {
@@ -125,6 +138,8 @@
     } catch (err) {
       lastProblem = `control VM ${target.vmId} does not answer: ${err instanceof Error ? err.message : String(err)}`
       return false
+    } finally {
+      answered.abort()
     }
   }
 
--- a/packages/node/src/lists/control-poll.ts
+++ b/packages/node/src/lists/control-poll.ts
@@ -1,9 +1,7 @@
 import { createControlClient, toAuthority, type ListsChange } from '@orioleslip/control/client'
 import type { Clock, ControlPeer } from '@orioleslip/core'
-import { POLL_WAIT_MS, type PollTarget } from '../documents/document-poller.js'
+import { ANSWER_MARGIN_MS, POLL_WAIT_MS, type PollTarget } from '../documents/document-poller.js'
 
-// Hold, answer and move to the next control VM stay within the 6 s in which an edit must be in effect, also when a VM has frozen.
-const ANSWER_MARGIN_MS = 1000
 
 /** Connects to a control VM over its API. */
 export function connectPollTarget (peer: ControlPeer, fleetKey: string, clock: Clock): PollTarget<ListsChange> {
--- /dev/null
+++ b/packages/node/src/routes/routes-poller.test.ts
@@ -0,0 +1,47 @@
+import test from 'ava'
+import type { RoutesChange } from '@orioleslip/control/client'
+import { createFakeClock, type MembersView } from '@orioleslip/core'
+import { pino } from 'pino'
+import type { PollTarget } from '../documents/document-poller.js'
+import { createRoutesPoller } from './routes-poller.js'
+
+/** Time within which routes must be in force on every node, in ms. */
+const IN_FORCE_MS = 2500
+
+const change = (revision: number): RoutesChange => ({
+  kind: 'full',
+  document: { revision, list: { limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }, services: [], routes: [] } }
+})
+
+// Guards against a node that waits for a control VM that has lost its power while the others have newer routes.
+test('routes come into force in time while the control VM that was asked falls silent', async (t) => {
+  const clock = createFakeClock()
+  let isSilent = false
+  let revision = 1
+  const connect = (authority: string): PollTarget<RoutesChange> => ({
+    vmId: authority,
+    since: (input, signal) => new Promise((resolve, reject) => {
+      signal.addEventListener('abort', () => reject(new Error('given up')), { once: true })
+      if (isSilent && authority.startsWith('10.0.0.1')) return
+      if (input.revision < revision) resolve({ change: change(revision), confirmed: true })
+    }),
+    close: () => Promise.resolve()
+  })
+  const poller = createRoutesPoller({
+    seeds: [1, 2].map((n) => ({ address: `10.0.0.${n}`, apiPort: 1, gossipPort: 2 })),
+    members: { all: () => [] } as unknown as MembersView,
+    fleetKey: 'fleet-key-0123456789',
+    vmId: 'n1',
+    log: pino({ level: 'silent' }),
+    clock,
+    random: { next: () => 0.5, int: () => 0 },
+    connect
+  })
+  await clock.advance(200)
+  t.is(poller.current()?.revision, 1)
+  isSilent = true
+  revision = 2
+  await clock.advance(IN_FORCE_MS)
+  t.is(poller.current()?.revision, 2)
+  await poller.stop()
+})
--- a/packages/node/src/routes/routes-poller.ts
+++ b/packages/node/src/routes/routes-poller.ts
@@ -1,7 +1,7 @@
 import { createRoutesClient, toAuthority, type RoutesChange } from '@orioleslip/control/client'
 import { createRoutesIndex, type Clock, type MembersView, type Random, type RoutesDocument, type RoutesIndex, type Seed } from '@orioleslip/core'
 import type { Logger } from 'pino'
-import { createDocumentPoller, POLL_WAIT_MS, type DocumentPoller, type PollTarget } from '../documents/document-poller.js'
+import { createDocumentPoller, type DocumentPoller, type PollTarget } from '../documents/document-poller.js'
 
 export type RoutesPollerOptions = {
   seeds: readonly Seed[]
@@ -11,27 +11,31 @@
   log: Logger
   clock: Clock
   random: Random
+  /** Opens the connection to a control VM; over its API by default. */
+  connect?: (authority: string) => PollTarget<RoutesChange>
 }
 
-// A control VM that does not answer a held poll within this time is out of contact.
-const ANSWER_MARGIN_MS = 500
+/** Hold, margin and the next control VM stay within the 2.5 s in which routes must be in force, also when a control VM falls silent. */
+const HOLD_MS = 1000
+const ANSWER_MARGIN_MS = 400
 
 /** Keeps the routes of this node current, asking the seeds and the control VMs that the members know. */
 export function createRoutesPoller (options: RoutesPollerOptions): DocumentPoller<RoutesIndex> {
   const { seeds, members, fleetKey, vmId, log, clock, random } = options
   const connected = new Map<string, PollTarget<RoutesChange>>()
 
-  const connect = (authority: string): PollTarget<RoutesChange> => {
-    const known = connected.get(authority)
-    if (known !== undefined) return known
+  const openTarget = options.connect ?? ((authority: string): PollTarget<RoutesChange> => {
     const { api, close } = createRoutesClient({
-      authority, principal: { kind: 'fleet' }, key: fleetKey, clock, timeoutMs: POLL_WAIT_MS + ANSWER_MARGIN_MS
+      authority, principal: { kind: 'fleet' }, key: fleetKey, clock, timeoutMs: HOLD_MS + ANSWER_MARGIN_MS
     })
-    const target: PollTarget<RoutesChange> = {
+    return {
       vmId: authority,
       since: (input, signal) => api.since.query({ vmId: input.vmId, revision: input.revision, waitMs: input.waitMs }, { signal }),
       close
     }
+  })
+  const connect = (authority: string): PollTarget<RoutesChange> => {
+    const target = connected.get(authority) ?? openTarget(authority)
     connected.set(authority, target)
     return target
   }
@@ -49,6 +53,8 @@
     vmId,
     log,
     clock,
-    random
+    random,
+    holdMs: HOLD_MS,
+    answerMarginMs: ANSWER_MARGIN_MS
   })
 }
