--- a/packages/control/src/replication/testing/cluster.ts
+++ b/packages/control/src/replication/testing/cluster.ts
@@ -1,6 +1,6 @@
 import { createSeededRandom } from '@orioleslip/core'
 import { createFakeDisk, type FakeDisk } from '../../storage/testing/fake-disk.js'
-import { createReplicatedLog, type ControlLog } from '../replicated-log.js'
+import { createReplicatedLog, type ControlLog, type ReplicatedLogOptions } from '../replicated-log.js'
 import type { ReplicationSettings } from '../settings.js'
 import { createFakeNetwork } from './network.js'
 import { createRecorder, type Recorder } from './recorder.js'
@@ -22,8 +22,11 @@
 /** Several VMs on one simulated clock and network; violations of the log's invariants are collected while time passes. */
 export type Cluster = ReturnType<typeof createCluster>
 
+/** The VMs know only the seeds and the members of their log, and any VM may join up to `voters`. */
+export type OpenMembership = { seeds: string[], voters: number }
+
 /** Creates VMs `c1`, `c2` and so on, all stopped. */
-export function createCluster (size: number, seed: number, settings: Partial<ReplicationSettings> = {}) {
+export function createCluster (size: number, seed: number, settings: Partial<ReplicationSettings> = {}, open?: OpenMembership) {
   const clock = createSimulatedClock()
   const random = createSeededRandom(seed)
   const vmIds = Array.from({ length: size }, (_, i) => `c${i + 1}`)
@@ -54,7 +57,7 @@
     const opening = createReplicatedLog({
       group: 'lists',
       vmId,
-      peers: vmIds.map((id) => ({ vmId: id, address: `${id}:1` })),
+      ...membershipOf(open, vmIds),
       dir: '/data',
       machine: target.machine = createRecorder(),
       transport: {
@@ -187,3 +190,9 @@
     }
   }
 }
+
+function membershipOf (open: OpenMembership | undefined, vmIds: string[]): Pick<ReplicatedLogOptions<string, number, unknown>, 'peers' | 'membership'> {
+  const peersOf = (ids: string[]) => ids.map((id) => ({ vmId: id, address: `${id}:1` }))
+  if (open === undefined) return { peers: peersOf(vmIds) }
+  return { peers: (memberIds) => peersOf([...new Set([...open.seeds, ...memberIds])]), membership: { kind: 'open', voters: open.voters } }
+}
--- a/packages/node/src/lists/control-poll.ts
+++ b/packages/node/src/lists/control-poll.ts
@@ -2,7 +2,6 @@
 import type { Clock, ControlPeer } from '@orioleslip/core'
 import { ANSWER_MARGIN_MS, POLL_WAIT_MS, type PollTarget } from '../documents/document-poller.js'
 
-
 /** Connects to a control VM over its API. */
 export function connectPollTarget (peer: ControlPeer, fleetKey: string, clock: Clock): PollTarget<ListsChange> {
   const { api, close } = createControlClient({
--- a/packages/node/src/routes/routes-poller.test.ts
+++ b/packages/node/src/routes/routes-poller.test.ts
@@ -8,9 +8,11 @@
 /** Time within which routes must be in force on every node, in ms. */
 const IN_FORCE_MS = 2500
 
+const LIMITS = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
+
 const change = (revision: number): RoutesChange => ({
   kind: 'full',
-  document: { revision, list: { limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }, services: [], routes: [] } }
+  document: { revision, list: { limits: LIMITS, services: [], routes: [] } }
 })
 
 // Guards against a node that waits for a control VM that has lost its power while the others have newer routes.
