Wrap a long line in a test

Cause: the formatter check failed on it. Measurement: the three tests of open membership pass. Conclusion: text only.

--- a/packages/control/src/replication/open-membership.test.ts
+++ b/packages/control/src/replication/open-membership.test.ts
@@ -5,7 +5,10 @@
 /** Time within which a successor must be a voter, in ms. */
 const SUCCESSION_MS = 4000
 
-const voterIds = (cluster: Cluster) => cluster.leader()?.log?.status().members.filter(({ voter }) => voter).map(({ vmId }) => vmId).sort() ?? []
+function voterIds (cluster: Cluster): string[] {
+  const members = cluster.leader()?.log?.status().members ?? []
+  return members.filter(({ voter }) => voter).map(({ vmId }) => vmId).sort()
+}
 
 /** Starts the first five VMs and forms the group by its seeds. */
 async function form (cluster: Cluster): Promise<void> {
