Abort calls with one prepared reason

Cause: a profile of the node beside a server (3000 calls at 300/s on loopback) shows 77 ms in DOMException: each call aborts its signal at its end, and an abort without a reason builds an exception with its stack. Change: all aborts of a deadline share one error. Measurement: tests of calls pass; 0.69 ms of processor time a call at the executor before. Conclusion: kept, since the work is gone; the figure follows with the next profile.

--- a/packages/node/src/calls/call-deadline.ts
+++ b/packages/node/src/calls/call-deadline.ts
@@ -12,24 +12,27 @@
   done: () => void
 }
 
+// One reason for all calls: an abort without a reason builds an exception with its stack, which costs more than the rest of a short call.
+const CANCELLED = new Error('the call was cancelled or its deadline has passed')
+
 /** Starts a deadline; `parent` aborts it early. */
 export function startDeadline (remainingMs: number, nowMs: () => number, parent?: AbortSignal): CallDeadline {
   const abort = new AbortController()
   const deadlineMs = nowMs() + remainingMs
   let expired = false
-  const onParent = () => abort.abort()
+  const onParent = () => abort.abort(CANCELLED)
   const timer = setTimeout(() => {
     expired = true
-    abort.abort()
+    abort.abort(CANCELLED)
   }, Math.max(0, remainingMs))
-  if (parent?.aborted === true) abort.abort()
+  if (parent?.aborted === true) abort.abort(CANCELLED)
   else parent?.addEventListener('abort', onParent, { once: true })
   return {
     deadlineMs,
     signal: abort.signal,
     remainingMs: () => deadlineMs - nowMs(),
     expired: () => expired,
-    cancel: () => abort.abort(),
+    cancel: () => abort.abort(CANCELLED),
     done: () => {
       clearTimeout(timer)
       parent?.removeEventListener('abort', onParent)
