Bound the lines that a process logs and never wait for their reader

Cause: each failed request writes a line, so that an overload writes thousands a second; standard output was written synchronously. Change: createProcessLog bounds the lines of each event to 20 a second after a burst of 100 and tells in the next one how many were left out; lines are written in the background, 1 MiB at most wait, and the end of a process waits 200 ms at most for its reader.

--- a/packages/daemon/src/run.ts
+++ b/packages/daemon/src/run.ts
@@ -1,9 +1,9 @@
 import { Command, CommanderError } from 'commander'
-import { pino } from 'pino'
 import { EXIT } from './exit-codes.js'
 import { loadSettings } from './load-settings.js'
 import { createMetrics } from './metrics.js'
 import { startRole } from './roles.js'
+import { createProcessLog, exitAfterFlush } from './process-log.js'
 import { handleStopSignals } from './stop-signals.js'
 
 const HELP = `
@@ -43,9 +43,9 @@
     process.stdout.write(`${args.config}: the settings are valid for role "${settings.role}"\n`)
     return EXIT.ok
   }
-  const log = pino({ level: settings.log.level, base: { vm: settings.vm.id, role: settings.role } })
+  const log = createProcessLog(settings)
   const metrics = createMetrics(settings, log)
-  const exit = (code: number) => process.exit(code)
+  const exit = (code: number) => exitAfterFlush(log, code)
   const fail = (err: unknown) => {
     log.fatal({ err }, 'Unexpected failure; the process stops')
     exit(EXIT.interrupted)
@@ -56,7 +56,8 @@
   const role = await startRole(settings, { log, ...(metrics === undefined ? {} : { metrics }) })
   if (role.isErr()) {
     log.fatal(role.error.message)
-    return EXIT.startFailed
+    exit(EXIT.startFailed)
+    return undefined
   }
   signals.started(role.value)
   return undefined
