Share the count of open requests and the leaving of a target

Cause: read-through of the change: both kinds of node held the same counter of open requests and the same way of announcing that their target leaves. Change: calls/open-requests.ts and TargetWatch.leave serve both. Conclusion: no change of behaviour, but that a target that is gone is not announced as leaving any more.

--- a/packages/node/src/calls/call-handler.ts
+++ b/packages/node/src/calls/call-handler.ts
@@ -13,6 +13,7 @@
 import type { AttemptRecord, Forwarder, ForwardRequest, ForwardResult } from './forwarder.js'
 import type { InboundCall, InboundCalls } from './inbound-calls.js'
 import type { NodeStats } from './node-stats.js'
+import { countOpenRequests, type CountedHandler } from './open-requests.js'
 import { BUFFERED_BODY_LIMIT_BYTES } from './request-body.js'
 import { HASHED_BODY_LIMIT_BYTES } from '../idempotency/request-hash.js'
 
@@ -54,8 +55,8 @@
 /** How a request ended, for records and metrics. */
 type Ending = { status: number, outcome: string, detail: string, refusal?: Refusal['code'], attempts: AttemptRecord[], regionBytes: number }
 
-/** Handles HTTP requests of callers and of the target beside this node. */
-export function createCallHandler (options: CallHandlerOptions) {
+/** Handles HTTP requests of callers and of the target beside this node; never rejects. */
+export function createCallHandler (options: CallHandlerOptions): CountedHandler {
   const { lists, admission, quotas, ledger, inbound, forwarder, records, stats, clock } = options
 
   const newRoot = (parsed: ParsedRequest, customer: string, opKey: string, op: Operation | undefined): RootContext => {
@@ -271,19 +272,7 @@
     if (kind === 'entry') ledger.close(root.requestId)
     note(parsed.value, admitted, ending, startedMs)
   }
-  let openRequests = 0
-  return {
-    /** Handles one request to its end; never rejects. */
-    handle: async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
-      openRequests++
-      try {
-        await handleOpen(req, res)
-      } finally {
-        openRequests--
-      }
-    },
-    openRequests: () => openRequests
-  }
+  return countOpenRequests(handleOpen)
 }
 
 function refuse (
--- a/packages/node/src/members/target-watch.test.ts
+++ b/packages/node/src/members/target-watch.test.ts
@@ -46,3 +46,18 @@
   t.deepEqual(published, ['ready', 'gone'])
   watch.stop()
 })
+
+// Guards against a stop that brings a target back that is gone already.
+test('a leaving target is published once, and one that is gone not again', async (t) => {
+  const { clock, published, watch, ready } = watched()
+  watch.leave()
+  t.deepEqual(published, [])
+  watch.announce(ready)
+  watch.leave()
+  watch.leave()
+  t.deepEqual(published, ['ready', 'leaving'])
+  await clock.advance(5000)
+  watch.leave()
+  t.deepEqual(published, ['ready', 'leaving', 'gone'])
+  watch.stop()
+})
--- a/packages/node/src/members/target-watch.ts
+++ b/packages/node/src/members/target-watch.ts
@@ -11,6 +11,8 @@
 export type TargetWatch = {
   /** Takes an announcement; the target repeats it each second. */
   announce: (target: TargetRecord) => void
+  /** Publishes the last announced target as leaving, if there is one. */
+  leave: () => void
   /** Last announcement, with state `gone` once it has expired. */
   current: () => TargetRecord | undefined
   start: () => void
@@ -54,6 +56,7 @@
       silentMs = 0
       change(target)
     },
+    leave: () => { if (current !== undefined && current.state !== 'gone') change({ ...current, state: 'leaving' }) },
     current: () => current,
     start: () => { run() },
     stop: () => stopping.abort()
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -170,15 +170,11 @@
     pool.close()
     await Promise.all([server.drain(), listener.close(), poller.stop(), control.close()])
   }
-  const announceLeaving = () => {
-    const announced = target.current()?.announcement
-    if (announced !== undefined) watch.announce({ service: announced.service, capacity: announced.capacity, state: 'leaving' })
-  }
   const drain = createPlannedStop({
     availability,
     members,
     openWork: { inbound, openRequests: handler.openRequests },
-    announceLeaving,
+    announceLeaving: watch.leave,
     recordsWritten: guard.idle,
     requestsEnded: server.drain,
     drainTimeoutS: cfg.drainTimeoutS,
--- a/packages/node/src/routes/route-handler.ts
+++ b/packages/node/src/routes/route-handler.ts
@@ -8,6 +8,7 @@
 import { startDeadline, type CallDeadline } from '../calls/call-deadline.js'
 import { bodyLength } from '../calls/entry-request.js'
 import type { AttemptRecord, Forwarder, ForwardResult } from '../calls/forwarder.js'
+import { countOpenRequests, type CountedHandler } from '../calls/open-requests.js'
 import { withoutSetHeaders, type CallHeaderNames } from './call-headers.js'
 import { clientRefusal } from './client-refusal.js'
 import type { DestinationChooser } from './destinations.js'
@@ -51,8 +52,8 @@
 type Admitted = { route: Route, requestId: string, revision: number, deadlineMs: number, bodyBytes: number | undefined }
 type Ended = Pick<RouteEnding, 'status' | 'outcome' | 'detail' | 'attempts'>
 
-/** Handles requests that clients and the target beside this node send on routes. */
-export function createRouteHandler (options: RouteHandlerOptions) {
+/** Handles requests that clients and the target beside this node send on routes; never rejects. */
+export function createRouteHandler (options: RouteHandlerOptions): CountedHandler {
   const { names, routes, forwarder, clock } = options
 
   const admit = (req: IncomingMessage, requestId: string): Result<Admitted, Refusal> => {
@@ -151,19 +152,7 @@
     note(ended, { route: route.name, service, revision, priority: root.priority })
   }
 
-  let openRequests = 0
-  return {
-    /** Handles one request to its end; never rejects. */
-    handle: async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
-      openRequests++
-      try {
-        await handleOpen(req, res)
-      } finally {
-        openRequests--
-      }
-    },
-    openRequests: () => openRequests
-  }
+  return countOpenRequests(handleOpen)
 }
 
 function refuse (req: IncomingMessage, res: ServerResponse, requestId: string, given: Refusal, attempts: AttemptRecord[]): Ended {
--- a/packages/node/src/routes/routed-node.ts
+++ b/packages/node/src/routes/routed-node.ts
@@ -128,15 +128,11 @@
     pool.close()
     await Promise.all([server.drain(), listener.close(), poller.stop()])
   }
-  const announceLeaving = () => {
-    const announced = target.current()?.announcement
-    if (announced !== undefined) watch.announce({ service: announced.service, capacity: announced.capacity, state: 'leaving' })
-  }
   const drain = createPlannedStop({
     availability,
     members,
     openWork: { inbound, openRequests: handler.openRequests },
-    announceLeaving,
+    announceLeaving: watch.leave,
     recordsWritten: () => Promise.resolve(),
     requestsEnded: server.drain,
     drainTimeoutS: cfg.drainTimeoutS,
@@ -168,7 +164,7 @@
       log.info({ event: 'target', instance, state: 'leaving', withdrawn }, 'the target beside this node has withdrawn')
       if (!withdrawn) return false
       availability.announced('leaving')
-      announceLeaving()
+      watch.leave()
       return true
     }
   }
