Send nodes the differences between versions of the routes

Change: the routes state machine keeps the last 50 differences, nodes apply them and ask for the whole list when they don't fit. Conclusion: kept as what the size of a fleet needs in any case.

--- a/packages/control/src/routes/state-machine.test.ts
+++ b/packages/control/src/routes/state-machine.test.ts
@@ -40,3 +40,18 @@
   t.is(change.kind === 'full' ? change.document.list.source : 'unchanged', undefined)
   t.deepEqual(machine.since(2), { kind: 'unchanged', revision: 2 })
 })
+
+// Guards against nodes that get the whole list with each change, and against a delta that does not start at their version.
+test('a node that lags gets the differences, one that they do not reach the whole list', (t) => {
+  const machine = createRoutesMachine()
+  for (const [base, revision] of [[0, 2], [2, 3], [3, 9]] as const) machine.apply(revision, replace(base, revision, String(revision)))
+  const kindsOf = (known: number) => {
+    const change = machine.since(known)
+    return change.kind === 'deltas' ? change.deltas.map(({ from, to }) => [from, to]) : change.kind
+  }
+  t.deepEqual([kindsOf(2), kindsOf(3), kindsOf(9)], [[[2, 3], [3, 9]], [[3, 9]], 'unchanged'])
+  t.deepEqual([kindsOf(-1), kindsOf(1)], ['full', 'full'])
+  const restored = createRoutesMachine()
+  restored.restore(JSON.parse(JSON.stringify(machine.snapshot())))
+  t.is(restored.since(3).kind, 'full')
+})
--- a/packages/control/src/routes/state-machine.ts
+++ b/packages/control/src/routes/state-machine.ts
@@ -1,9 +1,10 @@
-import type { RouteList, RoutesDocument, StateMachine } from '@orioleslip/core'
+import { diffRoutes, type RouteList, type RoutesDelta, type RoutesDocument, type StateMachine } from '@orioleslip/core'
 import { replacementDigest, type AcceptedReplacement, type RoutesCommand, type RoutesReply, type RoutesState } from './commands.js'
 
 /** What a node at some version needs to reach the one in effect. */
 export type RoutesChange =
   | { kind: 'unchanged', revision: number }
+  | { kind: 'deltas', deltas: RoutesDelta[] }
   | { kind: 'full', document: RoutesDocument }
 
 export type RoutesMachine = StateMachine<RoutesCommand, RoutesReply, RoutesState> & {
@@ -16,19 +17,38 @@
 /** Accepted replacements remembered for resends; about a week at the design figure of 570 changes a day. */
 export const MAX_ACCEPTED = 4000
 
+/** Differences kept for nodes that lag; a node that lags by more gets the whole document. */
+export const MAX_DELTAS = 50
+
 /** Creates the state machine of the routes. */
 export function createRoutesMachine (): RoutesMachine {
   let document: RoutesDocument | undefined
   let accepted: AcceptedReplacement[] = []
+  let deltas: RoutesDelta[] = []
   const revision = () => document?.revision ?? 0
 
+  const keepDelta = (before: RoutesDocument | undefined, after: RoutesDocument) => {
+    const delta = before === undefined ? undefined : diffRoutes(before, after)
+    deltas = delta === undefined ? [] : [...deltas.slice(1 - MAX_DELTAS), delta]
+  }
+
+  const since = (known: number): RoutesChange => {
+    // A node without a document reports version -1 and waits for the first one.
+    if (document === undefined || known >= document.revision) return { kind: 'unchanged', revision: document?.revision ?? -1 }
+    const wanted = deltas.filter((delta) => delta.from >= known)
+    if (wanted[0]?.from === known) return { kind: 'deltas', deltas: wanted }
+    return { kind: 'full', document: { revision: document.revision, list: withoutSource(document.list) } }
+  }
+
   return {
     apply: (_index, cmd) => {
       const digest = replacementDigest(cmd)
       if (accepted.some((known) => known.revision === cmd.revision && known.digest === digest)) return { kind: 'accepted', revision: cmd.revision }
       if (cmd.baseRevision !== revision()) return { kind: 'conflict', revision: revision() }
       if (cmd.revision <= revision()) return { kind: 'outdated', revision: revision() }
-      document = { revision: cmd.revision, list: cmd.list }
+      const next = { revision: cmd.revision, list: cmd.list }
+      keepDelta(document, next)
+      document = next
       accepted.push({ revision: cmd.revision, digest })
       if (accepted.length > MAX_ACCEPTED) accepted.shift()
       return { kind: 'accepted', revision: cmd.revision }
@@ -36,14 +56,12 @@
     snapshot: () => ({ document: document ?? null, accepted: [...accepted] }),
     restore: (state) => {
       document = state.document ?? undefined
+      deltas = []
       accepted = [...state.accepted]
     },
     revision,
     document: () => document,
-    // A node without a document reports version -1 and waits for the first one.
-    since: (known) => document === undefined || known >= document.revision
-      ? { kind: 'unchanged', revision: document?.revision ?? -1 }
-      : { kind: 'full', document: { revision: document.revision, list: withoutSource(document.list) } }
+    since
   }
 }
 
--- a/packages/core/src/routes/routes.test.ts
+++ b/packages/core/src/routes/routes.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava'
+import { applyRoutesDelta, diffRoutes } from './delta.js'
 import { createRoutesIndex } from './lookup.js'
 import { routeListSchema, type Route } from './schema.js'
 
@@ -40,3 +41,17 @@
   t.is(problemsOf(routeOf('r', '/a/', { targetLatencyMs: 60_799 })), undefined)
   t.regex(problemsOf(routeOf('r', '/a')) ?? '', /begin and end with/)
 })
+
+// Guards against nodes that end up with other routes than the control VMs, and against changes that cost the size of the whole list.
+test('a delta holds what differs and leads to the same routes', (t) => {
+  const many = Array.from({ length: 300 }, (_, i) => routeOf(`r${i}`, `/p${i}/`))
+  const before = { revision: 3, list: listOf(...many) }
+  const after = { revision: 7, list: listOf(...many.slice(1, 299), routeOf('r299', '/p299/', { timeoutMs: 5 }), routeOf('new', '/new/')) }
+  const delta = diffRoutes(before, after)!
+  t.deepEqual(delta.removed, ['a.example /p0/'])
+  t.deepEqual(delta.set.map(({ name }) => name), ['r299', 'new'])
+  t.is(delta.services, undefined)
+  t.deepEqual(applyRoutesDelta(before, delta), after)
+  t.is(applyRoutesDelta(after, delta), undefined)
+  t.is(diffRoutes(before, { revision: 8, list: listOf(routeOf('a', '/x/'), routeOf('b', '/x/')) }), undefined)
+})
