Answer 503, not 404, while no target of a route's service is known

A node that has just started may have no member of a service in its table yet; the router calls that 'service-unknown', which is a 404 in the product's own interface, where the path names the service.

--- a/packages/node/src/routes/client-refusal.test.ts
+++ b/packages/node/src/routes/client-refusal.test.ts
@@ -11,4 +11,6 @@
     t.not(REFUSALS[clientRefusal(unknownOutcome(code === 'overloaded' || code === 'no-target' ? 'bad-answer' : code, '')).code].status, 503)
   }
   t.is(clientRefusal(notRun('route-unknown', '')).code, 'route-unknown')
+  // A node that has just started may know no target yet; the routes say that the service exists.
+  t.is(REFUSALS[clientRefusal(notRun('service-unknown', '')).code].status, 503)
 })
