Judge a target by the share of its faults, not by their count

Cause: the router added a penalty for each failed call and each call that its caller gave up. At 400 calls/s one failure in a hundred was enough to make the only target of a failure domain look full, so that calls went to other failure domains and regions. Where all targets were full, calls were spread over the whole region, which gains nothing.

Change: faults count by their share of recent calls, single ones are tolerated, calls given up early count for nothing, and among full targets a call moves only to one that is half as busy. The test that expected the spread among equally full targets now expects the nearest one, and the move once it is much fuller.

--- a/packages/core/src/interfaces/routing.ts
+++ b/packages/core/src/interfaces/routing.ts
@@ -13,6 +13,9 @@
   mayCrossRegion: boolean
 }
 
+/** What the end of a call tells of its target; calls that their callers gave up tell nothing. */
+export type TargetVerdict = 'sound' | 'faulty' | 'unknown'
+
 /** Chooses the target VM for a call. */
 export type Router = {
   pick: (req: RouteRequest) => RouteChoice
@@ -20,5 +23,5 @@
   learn: (vmId: string, load: LoadReport) => void
   /** Counts a call as sent to the VM until `settled`. */
   sent: (vmId: string) => void
-  settled: (vmId: string, ok: boolean) => void
+  settled: (vmId: string, verdict: TargetVerdict) => void
 }
--- a/packages/node/src/calls/forwarder.ts
+++ b/packages/node/src/calls/forwarder.ts
@@ -1,4 +1,4 @@
-import { notRun, unknownOutcome, type Clock, type MemberRecord, type Operation, type Refusal, type RootContext, type Router } from '@orioleslip/core'
+import { notRun, unknownOutcome, type Clock, type MemberRecord, type Operation, type Refusal, type RootContext, type Router, type TargetVerdict } from '@orioleslip/core'
 import type { ByteQueue } from '../links/byte-queue.js'
 import type { IncomingCall } from '../links/incoming-call.js'
 import { createLocalCall } from '../links/local-call.js'
@@ -136,11 +136,11 @@
       const startedMs = clock.nowMs()
       const once = req.onceKey === undefined ? undefined : { key: req.onceKey, token: newAttemptToken(clock) }
       const tries = await attempt(req, member, crossesRegion, once)
-      const settle = (part: CallReport, ok: boolean): CallReport => {
+      const settle = (part: CallReport, verdict: TargetVerdict): CallReport => {
         const bytes = crossesRegion ? wireBytes(req, tries.call) : 0
         volume?.settle(bytes)
         learn(member.vmId, part)
-        router.settled(member.vmId, ok)
+        router.settled(member.vmId, verdict)
         report = { pathLevel: Math.max(report.pathLevel, part.pathLevel), regionBytes: report.regionBytes + part.regionBytes + bytes }
         return report
       }
@@ -155,14 +155,14 @@
           finish: tries.call.finish,
           settle: (finish) => {
             if (finish.kind === 'complete') latencies.add(req.opKey, clock.nowMs() - startedMs)
-            return settle('report' in finish ? finish.report : NO_REPORT, finish.kind === 'complete')
+            return settle('report' in finish ? finish.report : NO_REPORT, verdictOfFinish(finish))
           },
           attempts,
           report
         }
       }
       const { reply } = tries
-      settle(reply.kind === 'refused' ? reply.report : NO_REPORT, reply.kind === 'refused' && !isFault(reply.refusal))
+      settle(reply.kind === 'refused' ? reply.report : NO_REPORT, verdictOfReply(req, reply))
       record(reply.kind === 'refused' ? `refused ${reply.refusal.code} (${reply.refusal.outcome})` : reply.kind)
       const ended = failureOf(req, reply)
       if (ended.kind === 'lost' && once !== undefined) return { kind: 'lost', token: once.token, message: ended.message, attempts, report }
@@ -230,6 +230,23 @@
   return sent + received + HEAD_BYTES + req.headers.reduce((sum, part) => sum + part.length + 2, 0)
 }
 
+function verdictOfReply (req: ForwardRequest, reply: Extract<Attempt, { kind: 'ended' }>['reply']): TargetVerdict {
+  // A target that held a call to its deadline may hang; a call that its caller gave up earlier says nothing.
+  if (req.deadline.signal.aborted && !req.deadline.expired()) return 'unknown'
+  switch (reply.kind) {
+    case 'refused': return isFault(reply.refusal) ? 'faulty' : 'sound'
+    case 'notSent': case 'lost': case 'cancelled': return 'faulty'
+  }
+}
+
+function verdictOfFinish (finish: CallFinish): TargetVerdict {
+  switch (finish.kind) {
+    case 'complete': return 'sound'
+    case 'cancelled': return 'unknown'
+    case 'aborted': case 'lost': return 'faulty'
+  }
+}
+
 /** True for refusals that tell of a broken target or node, not of a decision. */
 function isFault (refusal: Refusal): boolean {
   return refusal.code === 'target-lost' || refusal.code === 'bad-answer' || refusal.code === 'internal-error'
--- a/packages/node/src/routing/router.ts
+++ b/packages/node/src/routing/router.ts
@@ -5,16 +5,23 @@
   learntMs: number
   ownInFlight: number
   sentSinceReport: number
-  penalty: number
-  penaltyMs: number
+  /** Share of recent calls that failed by a fault of the target. */
+  faultShare: number
+  faultShareMs: number
 }
 
 // A report loses its weight when no calls go to the VM, so that a VM that was full is tried again.
 const REPORT_HALF_LIFE_MS = 1000
-const PENALTY_HALF_LIFE_MS = 5000
-const MAX_PENALTY = 16
-// A remainder of this size would still decide between two idle targets.
-const NEGLIGIBLE_PENALTY = 0.05
+// Faults are forgiven in this time where no call is sent, so that the target is tried again.
+const FAULT_HALF_LIFE_MS = 5000
+// A target is judged by about its last 20 calls.
+const FAULT_WEIGHT = 0.05
+// Single faults among many calls don't move calls elsewhere: the other targets have such faults as well.
+const TOLERATED_FAULT_SHARE = 0.1
+// A target at which all calls fail counts as this many times busier than it is.
+const FAULT_PENALTY = 16
+// Moving a call costs bytes between failure domains or regions; the other target has to be this much less busy.
+const MOVE_FACTOR = 2
 // Queues of other regions cost two region round trips, so a short queue nearby is still the better choice.
 const FULL_IN_REGION = 1
 const FULL_BEFORE_CROSSING = 1.5
@@ -32,7 +39,7 @@
     const known = tracks.get(vmId)
     if (known !== undefined) return known
     const nowMs = clock.nowMs()
-    const track: Track = { load: undefined, learntMs: nowMs, ownInFlight: 0, sentSinceReport: 0, penalty: 0, penaltyMs: nowMs }
+    const track: Track = { load: undefined, learntMs: nowMs, ownInFlight: 0, sentSinceReport: 0, faultShare: 0, faultShareMs: nowMs }
     tracks.set(vmId, track)
     return track
   }
@@ -42,10 +49,8 @@
     for (const [vmId, track] of tracks) if (!known.has(vmId) && track.ownInFlight === 0) tracks.delete(vmId)
   })
 
-  const penaltyOf = (track: Track): number => {
-    const penalty = track.penalty * 0.5 ** ((clock.nowMs() - track.penaltyMs) / PENALTY_HALF_LIFE_MS)
-    return penalty < NEGLIGIBLE_PENALTY ? 0 : penalty
-  }
+  const faultShareOf = (track: Track): number => track.faultShare * 0.5 ** ((clock.nowMs() - track.faultShareMs) / FAULT_HALF_LIFE_MS)
+  const penaltyOf = (track: Track): number => FAULT_PENALTY * Math.max(0, faultShareOf(track) - TOLERATED_FAULT_SHARE)
   // Calls per slot that the target has or is about to have.
   const loadOf = (record: MemberRecord): number => {
     const track = tracks.get(record.vmId)
@@ -72,6 +77,16 @@
     const [a, b] = [candidates[first]!, candidates[second]!]
     return costOf(a) <= costOf(b) ? a : b
   }
+  // Chooses among tiers without room. Where all are equally full, a call moved to another tier would cost bytes and gain nothing.
+  const nearest = (tiers: MemberRecord[][]): MemberRecord | undefined => {
+    let best: MemberRecord | undefined
+    for (const tier of tiers) {
+      if (tier.length === 0) continue
+      const record = twoChoices(tier)
+      if (best === undefined || costOf(record) * MOVE_FACTOR < costOf(best)) best = record
+    }
+    return best
+  }
   const choose = (candidates: MemberRecord[], mayCrossRegion: boolean): MemberRecord | undefined => {
     const self = members.self()
     const inRegion = candidates.filter((record) => record.region === self.region)
@@ -81,13 +96,12 @@
     if (spareNearby.length > 0) return twoChoices(spareNearby)
     const spareInRegion = spare(inRegion, FULL_BEFORE_CROSSING)
     if (spareInRegion.length > 0) return twoChoices(spareInRegion)
-    if (mayCrossRegion) {
-      const elsewhere = candidates.filter((record) => record.region !== self.region && !isShedding(record))
-      const spareAnywhere = spare(elsewhere, FULL_IN_REGION)
-      if (spareAnywhere.length > 0) return twoChoices(spareAnywhere)
-    }
-    if (inRegion.length > 0) return twoChoices(inRegion)
-    return mayCrossRegion && candidates.length > 0 ? twoChoices(candidates) : undefined
+    const elsewhere = mayCrossRegion ? candidates.filter((record) => record.region !== self.region) : []
+    const unshedElsewhere = elsewhere.filter((record) => !isShedding(record))
+    const spareAnywhere = spare(unshedElsewhere, FULL_IN_REGION)
+    if (spareAnywhere.length > 0) return twoChoices(spareAnywhere)
+    const inOtherDomains = inRegion.filter((record) => record.failureDomain !== self.failureDomain)
+    return nearest([nearby, inOtherDomains, unshedElsewhere]) ?? nearest([elsewhere])
   }
 
   return {
@@ -112,12 +126,13 @@
       track.ownInFlight++
       track.sentSinceReport++
     },
-    settled: (vmId, ok) => {
+    settled: (vmId, verdict) => {
       const track = trackOf(vmId)
       track.ownInFlight = Math.max(0, track.ownInFlight - 1)
-      if (ok) return
-      track.penalty = Math.min(MAX_PENALTY, penaltyOf(track) + 1)
-      track.penaltyMs = clock.nowMs()
+      if (verdict === 'unknown') return
+      const before = faultShareOf(track)
+      track.faultShare = before + ((verdict === 'faulty' ? 1 : 0) - before) * FAULT_WEIGHT
+      track.faultShareMs = clock.nowMs()
     }
   }
 }
