Send call heads and reports as lists of values, one buffer per loop turn

Cause: each call head carried the names of its 19 fields, and each frame went to the socket in two buffers of its own.

Change: heads and reports travel as lists; frames of one turn up to 16 KiB are joined before they are written.

--- /dev/null
+++ b/packages/node/src/links/compact.ts
@@ -0,0 +1,64 @@
+import type { Refusal } from '@orioleslip/core'
+import type { CallHead, CallReport } from './messages.js'
+
+/** A call head as a list of values; the names of its fields would be most of its bytes, and between failure domains bytes are paid for. */
+export type CompactHead = [
+  ...root: [requestId: string, traceId: string, customer: string, entryOpKey: string, priority: number],
+  ...origin: [ledgerHost: string, ledgerPort: number, region: string],
+  ...call: [service: string, method: string, path: string, headers: string[], opKey: string],
+  ...terms: [remainingMs: number, traceFlags: string, offer: boolean],
+  ...optional: [bodyBytes: number | null, onceKey: string | null, onceToken: string | null]
+]
+
+/** A report as a list of values. */
+export type CompactReport = [pathLevel: number, regionBytes: number, reachedTarget: boolean, load: CompactLoad | null]
+
+type CompactLoad = [level: number, inFlight: number, queued: number, limit: number]
+
+/** A refusal and the report that comes with it. */
+export type CompactRefusal = [refusal: Refusal, report: CompactReport]
+
+/** Gives the values of a call head in their order. */
+export function packHead (head: CallHead): CompactHead {
+  const { root: { requestId, traceId, customer, entryOpKey, priority, ledger, region }, once } = head
+  const { service, method, path, headers, opKey, remainingMs, traceFlags, offer, bodyBytes } = head
+  return [
+    requestId, traceId, customer, entryOpKey, priority, ledger.host, ledger.port, region,
+    service, method, path, headers, opKey, remainingMs, traceFlags, offer,
+    bodyBytes ?? null, once?.key ?? null, once?.token ?? null
+  ]
+}
+
+/** Restores a call head from its values. */
+export function unpackHead (values: CompactHead): CallHead {
+  const [requestId, traceId, customer, entryOpKey, priority, host, port, region, ...call] = values
+  const [service, method, path, headers, opKey, remainingMs, traceFlags, offer, bodyBytes, key, token] = call
+  return {
+    root: { requestId, traceId, customer, entryOpKey, priority, ledger: { host, port }, region },
+    service,
+    method,
+    path,
+    headers,
+    opKey,
+    remainingMs,
+    traceFlags,
+    offer,
+    ...(bodyBytes === null ? {} : { bodyBytes }),
+    ...(key === null || token === null ? {} : { once: { key, token } })
+  }
+}
+
+/** Gives the values of a report in their order. */
+export function packReport ({ pathLevel, regionBytes, reachedTarget, load }: CallReport): CompactReport {
+  return [pathLevel, regionBytes, reachedTarget === true, load === undefined ? null : [load.level, load.inFlight, load.queued, load.limit]]
+}
+
+/** Restores a report from its values. */
+export function unpackReport ([pathLevel, regionBytes, reachedTarget, load]: CompactReport): CallReport {
+  return {
+    pathLevel,
+    regionBytes,
+    ...(reachedTarget ? { reachedTarget } : {}),
+    ...(load === null ? {} : { load: { level: load[0], inFlight: load[1], queued: load[2], limit: load[3] } })
+  }
+}
--- a/packages/node/src/links/connection.ts
+++ b/packages/node/src/links/connection.ts
@@ -31,21 +31,34 @@
   receive: (frame: Frame) => void
 }
 
-/** Writes frames of one event loop turn with one system call. */
+/** Frames of one event loop turn up to this size are joined, since one buffer costs the system less than a list of them. */
+const JOINED_BYTES = 16 * 1024
+
+/** Writes the frames of one event loop turn with one system call. */
 export function createFrameWriter (socket: Socket): (stream: number, msg: AnyMessage) => void {
-  let corked = false
-  const uncork = () => {
-    corked = false
+  let pending: Uint8Array[] = []
+  let pendingBytes = 0
+  const flush = () => {
+    const buffers = pending
+    const isSmall = pendingBytes <= JOINED_BYTES
+    pending = []
+    pendingBytes = 0
+    if (socket.destroyed) return
+    if (isSmall) {
+      socket.write(Buffer.concat(buffers))
+      return
+    }
+    socket.cork()
+    for (const buf of buffers) socket.write(buf)
     socket.uncork()
   }
   return (stream, msg) => {
     if (socket.destroyed) return
-    if (!corked) {
-      corked = true
-      socket.cork()
-      process.nextTick(uncork)
+    if (pending.length === 0) setImmediate(flush)
+    for (const buf of encodeFrame(stream, msg)) {
+      pending.push(buf)
+      pendingBytes += buf.length
     }
-    for (const buf of encodeFrame(stream, msg)) socket.write(buf)
   }
 }
 
--- a/packages/node/src/links/frames.test.ts
+++ b/packages/node/src/links/frames.test.ts
@@ -3,18 +3,52 @@
 import { createFrameDecoder, encodeFrame, MAX_FRAME_BYTES, type Frame } from './frames.js'
 
 const bytesArb = fc.uint8Array({ minLength: 1, maxLength: 2000 }).map((bytes) => Buffer.from(bytes))
+const loadArb = fc.record({ level: fc.nat(255), inFlight: fc.nat(), queued: fc.nat(), limit: fc.nat() })
+const reportArb = fc.record(
+  { pathLevel: fc.nat(255), regionBytes: fc.nat(), reachedTarget: fc.constant(true), load: loadArb },
+  { requiredKeys: ['pathLevel', 'regionBytes'] }
+)
+const refusalArb = fc.record(
+  { code: fc.constant('overloaded' as const), outcome: fc.constantFrom('not-run' as const, 'unknown' as const), detail: fc.string(), retryAfterS: fc.nat() },
+  { requiredKeys: ['code', 'outcome', 'detail'] }
+)
+const headArb = fc.record({
+  root: fc.record({
+    requestId: fc.string(),
+    traceId: fc.string(),
+    customer: fc.string(),
+    entryOpKey: fc.string(),
+    priority: fc.nat(255),
+    ledger: fc.record({ host: fc.string(), port: fc.nat(65_535) }),
+    region: fc.string()
+  }),
+  service: fc.string(),
+  method: fc.string(),
+  path: fc.string(),
+  headers: fc.array(fc.string()),
+  opKey: fc.string(),
+  remainingMs: fc.double({ min: 0, max: 1e6, noNaN: true }),
+  traceFlags: fc.string(),
+  offer: fc.boolean(),
+  bodyBytes: fc.nat(),
+  once: fc.record({ key: fc.string(), token: fc.string() })
+}, { requiredKeys: ['root', 'service', 'method', 'path', 'headers', 'opKey', 'remainingMs', 'traceFlags', 'offer'] })
+
 const frameArb: fc.Arbitrary<Frame> = fc.record({
   stream: fc.nat(),
   msg: fc.oneof(
     bytesArb.map((chunk) => ({ type: 'data' as const, chunk })),
     bytesArb.map((chunk) => ({ type: 'responseData' as const, chunk })),
     fc.constant({ type: 'end' as const }),
+    headArb.map((head) => ({ type: 'head' as const, head })),
+    reportArb.map((report) => ({ type: 'responseEnd' as const, report })),
+    fc.record({ type: fc.constant('refuse' as const), refusal: refusalArb, report: reportArb }),
     fc.nat().map((bytes) => ({ type: 'credit' as const, bytes })),
     fc.record({ type: fc.constant('responseHead' as const), head: fc.record({ status: fc.nat(599), headers: fc.array(fc.string()) }) })
   )
 })
 
-// Guards against frames that are lost or mixed up when TCP splits or joins them.
+// Guards against frames that are lost or mixed up when TCP splits or joins them, and against fields that change on the way.
 test('frames survive any split of the byte stream', (t) => {
   fc.assert(fc.property(fc.array(frameArb, { maxLength: 20 }), fc.integer({ min: 1, max: 700 }), (frames, step) => {
     const bytes = Buffer.concat(frames.flatMap((frame) => encodeFrame(frame.stream, frame.msg)))
--- a/packages/node/src/links/frames.ts
+++ b/packages/node/src/links/frames.ts
@@ -1,5 +1,6 @@
 import { Packr } from 'msgpackr'
-import type { StreamMessage } from './messages.js'
+import { packHead, packReport, unpackHead, unpackReport, type CompactHead, type CompactRefusal, type CompactReport } from './compact.js'
+import type { ResponseHead, StreamMessage } from './messages.js'
 
 /** Largest payload of a frame; longer ones close the connection. */
 export const MAX_FRAME_BYTES = 4 * 1024 * 1024
@@ -56,6 +57,10 @@
   switch (msg.type) {
     case 'data': case 'responseData': return msg.chunk
     case 'accept': case 'end': case 'cancel': case 'ping': case 'pong': return undefined
+    case 'head': return packr.pack(packHead(msg.head))
+    case 'responseHead': return packr.pack(msg.head)
+    case 'responseEnd': return packr.pack(packReport(msg.report))
+    case 'refuse': return packr.pack([msg.refusal, packReport(msg.report)])
     default: return packr.pack(msg)
   }
 }
@@ -65,6 +70,13 @@
     case 'data': return { type, chunk: payload }
     case 'responseData': return { type, chunk: payload }
     case 'accept': case 'end': case 'cancel': case 'ping': case 'pong': return { type }
+    case 'head': return { type, head: unpackHead(packr.unpack(payload) as CompactHead) }
+    case 'responseHead': return { type, head: packr.unpack(payload) as ResponseHead }
+    case 'responseEnd': return { type, report: unpackReport(packr.unpack(payload) as CompactReport) }
+    case 'refuse': {
+      const [refusal, report] = packr.unpack(payload) as CompactRefusal
+      return { type, refusal, report: unpackReport(report) }
+    }
     default: return packr.unpack(payload) as StreamMessage | ConnectionMessage
   }
 }
