Explain a failed request from log files alone

Cause: a refusal at the node beside the target left no line, lines about members, leaders and drains had no event, and `explain` needed processes that still run.

--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -4,6 +4,7 @@
 import { loadClientSettings, type ClientSettings, type ConnectionOptions } from './client-settings.js'
 import { showAudit, verifyAudit } from './commands/audit.js'
 import { clusterInit, showFleet, showStatus } from './commands/cluster.js'
+import { explainFromLogs, explainRevision } from './commands/explain-logs.js'
 import { explainRequest } from './commands/explain.js'
 import { editLists, type EditOptions } from './commands/lists-edit.js'
 import { diffListFiles, getLists, listsHistory, validateLists } from './commands/lists-read.js'
@@ -139,8 +140,16 @@
 
   program.command('explain').description('Shows why a request was decided as it was.').argument('<requestId>', 'Orioleslip-Request-Id of the response')
     .option('--node <address:port>', 'caller listener of a node; by default all nodes known to the control VMs', append)
-    .action((requestId: string, options: { node?: string[] }) => withControls((calls, settings) =>
-      explainRequest(calls, requestId, options.node ?? (settings.nodes.length > 0 ? settings.nodes : undefined), settings)))
+    .option('--logs <file...>', 'log files of processes; no process is asked then')
+    .action((requestId: string, options: { node?: string[], logs?: string[] }) => options.logs === undefined
+      ? withControls((calls, settings) =>
+        explainRequest(calls, requestId, options.node ?? (settings.nodes.length > 0 ? settings.nodes : undefined), settings))
+      : show(explainFromLogs(options.logs, requestId)))
+
+  program.command('explain-revision').description('Shows from log files where and when a revision came into force.')
+    .argument('<revision>', 'revision of the lists or of the routes', wholeNumber)
+    .requiredOption('--logs <file...>', 'log files of processes')
+    .action((revision: number, options: { logs: string[] }) => show(explainRevision(options.logs, revision)))
 
   try {
     await program.parseAsync([...argv], { from: 'user' })
--- a/packages/control/src/api/client.ts
+++ b/packages/control/src/api/client.ts
@@ -39,13 +39,15 @@
 const DEFAULT_TIMEOUT_MS = 8000
 const NOT_CONNECTED = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
 
+/** What tRPC reads of an answer; a whole `Response` would bring streams that nothing here needs. */
+type FetchedAnswer = { ok: boolean, json: () => Promise<unknown> }
+
 /** Creates the signed transport to one control VM. */
 function connect (options: ControlClientOptions) {
   const { authority, signedAuthority = authority, principal, key, clock, timeoutMs = DEFAULT_TIMEOUT_MS } = options
   const dispatcher = new Agent({ connect: { timeout: CONNECT_TIMEOUT_MS }, keepAliveTimeout: 10_000 })
 
-  // tRPC needs no more of `fetch` than this; a whole one, with its streams, would be most of the processor time of an idle process.
-  const signedFetch = async (url: string | URL | Request, init: RequestInit = {}): Promise<{ ok: boolean, json: () => Promise<unknown> }> => {
+  const signedFetch = async (url: string | URL | Request, init: RequestInit = {}): Promise<FetchedAnswer> => {
     const { pathname, search } = new URL(String(url))
     const { method = 'GET' } = init
     const body = typeof init.body === 'string' ? init.body : ''
--- a/packages/control/src/replication/apply.ts
+++ b/packages/control/src/replication/apply.ts
@@ -18,7 +18,7 @@
     } catch (cause) {
       // Skipping the entry would make this replica differ from the others.
       replica.fault = `applying entry ${index} failed: ${String(cause)}; report this fault with the data folder`
-      replica.logger.error({ group: replica.group, err: cause }, replica.fault)
+      replica.logger.error({ event: 'replica-fault', group: replica.group, err: cause }, replica.fault)
       stepDown(replica, replica.fault)
       return
     }
--- a/packages/control/src/replication/follower.ts
+++ b/packages/control/src/replication/follower.ts
@@ -45,7 +45,7 @@
 
   if (req.entries.some(({ index, term }) => index <= replica.commitIndex && (termAt(replica, index) ?? term) !== term)) {
     replica.fault = `the leader ${vmId} sent an entry that differs from a committed one; report this fault with the data folders`
-    replica.logger.error({ group: replica.group, term: req.term, prevIndex: req.prevIndex }, replica.fault)
+    replica.logger.error({ event: 'replica-fault', group: replica.group, term: req.term, prevIndex: req.prevIndex }, replica.fault)
     return refusedReply(replica, 'failed', replica.fault)
   }
   const added = req.entries.filter(({ index, term }) => index > replica.commitIndex && termAt(replica, index) !== term)
--- a/packages/control/src/replication/init.ts
+++ b/packages/control/src/replication/init.ts
@@ -88,6 +88,6 @@
     return refuse(written.error.message)
   }
   refreshConfiguration(replica)
-  replica.logger.info({ group: replica.group, members }, 'the group is created')
+  replica.logger.info({ event: 'group-created', group: replica.group, members }, 'the group is created')
   return ok()
 }
--- a/packages/control/src/replication/leader.ts
+++ b/packages/control/src/replication/leader.ts
@@ -30,7 +30,7 @@
   replica.leaderVmId = self.vmId
   replica.leadership = leadership
   replica.ledTerms.add(term)
-  replica.logger.info({ group: replica.group, term }, 'this replica leads')
+  replica.logger.info({ event: 'leader', group: replica.group, term, leads: true }, 'this replica leads')
   startTask(replica, proposeBody(replica, { kind: 'noop' }))
   startTask(replica, runWriter(replica, leadership))
   startTask(replica, checkQuorum(replica, leadership))
--- a/packages/control/src/replication/membership.ts
+++ b/packages/control/src/replication/membership.ts
@@ -30,7 +30,7 @@
     const config = nextConfiguration(replica.config, view)
     forgetJoins(replica, leadership)
     if (config === undefined) continue
-    replica.logger.info({ group: replica.group, members: config.members }, 'changing the members of the group')
+    replica.logger.info({ event: 'group-members', group: replica.group, members: config.members }, 'changing the members of the group')
     await proposeBody(replica, { kind: 'config', config })
   }
 }
--- a/packages/control/src/replication/open-replica.ts
+++ b/packages/control/src/replication/open-replica.ts
@@ -31,10 +31,10 @@
   const storeOptions = { fs, dir, segmentBytes: settings.segmentBytes, ...(newStorageId === undefined ? {} : { newStorageId }) }
   const opened = await openStore(storeOptions)
   if (opened.isOk() || opened.error.kind !== 'damaged') return opened
-  logger.error({ group, file: opened.error.file, offset: opened.error.offset }, opened.error.message)
+  logger.error({ event: 'storage-fault', group, file: opened.error.file, offset: opened.error.offset }, opened.error.message)
   if (options.peers.length < 2 || !await hasLeader(options)) return err(opened.error)
   const aside = await moveAside(fs, dir)
-  logger.warn({ group, aside }, 'the damaged files were moved aside; this replica is rebuilt from its peers')
+  logger.warn({ event: 'storage-rebuilt', group, aside }, 'the damaged files were moved aside; this replica is rebuilt from its peers')
   return await openStore(storeOptions)
 }
 
--- a/packages/control/src/replication/replica.ts
+++ b/packages/control/src/replication/replica.ts
@@ -142,7 +142,7 @@
 
 /** Takes a fault of the storage into account. */
 export function noteStorageError (replica: Replica, error: StorageError) {
-  replica.logger.error({ group: replica.group, file: error.file }, error.message)
+  replica.logger.error({ event: 'storage-fault', group: replica.group, file: error.file }, error.message)
   if (error.kind === 'full') replica.pausedUntilMs = replica.clock.nowMs() + replica.settings.fullDiskPauseMs
 }
 
--- a/packages/control/src/replication/replicator.ts
+++ b/packages/control/src/replication/replicator.ts
@@ -80,7 +80,7 @@
     return false
   }
   const data = read.value
-  replica.logger.info({ group: replica.group, vmId: progress.vmId, lastIndex, bytes: data.length }, 'sending a snapshot')
+  replica.logger.info({ event: 'snapshot-sent', group: replica.group, vmId: progress.vmId, lastIndex, bytes: data.length }, 'sending a snapshot')
   for (let offset = 0, isInstalled = false; !isInstalled;) {
     const sentMs = clock.nowMs()
     const piece = data.subarray(offset, offset + settings.chunkBytes).toString('base64')
--- a/packages/control/src/replication/roles.ts
+++ b/packages/control/src/replication/roles.ts
@@ -34,7 +34,7 @@
   if (leadership === undefined) return
   replica.leadership = undefined
   replica.leaderVmId = undefined
-  replica.logger.info({ group: replica.group, term: leadership.term }, `leader steps down: ${reason}`)
+  replica.logger.info({ event: 'leader', group: replica.group, term: leadership.term, leads: false }, `leader steps down: ${reason}`)
   leadership.ended = true
   for (const { resolve } of leadership.waiting.values()) {
     resolve(err({ kind: 'outcomeUnknown', message: `the leader stepped down before the entry was committed (${reason}); resend with the same id` }))
--- a/packages/control/src/replication/tasks.ts
+++ b/packages/control/src/replication/tasks.ts
@@ -5,7 +5,7 @@
 export function startTask (replica: Replica, task: Promise<unknown>) {
   task.catch((cause: unknown) => {
     replica.fault ??= `internal error: ${String(cause)}; restart the control process and report this fault`
-    replica.logger.error({ group: replica.group, err: cause }, replica.fault)
+    replica.logger.error({ event: 'replica-fault', group: replica.group, err: cause }, replica.fault)
     stepDown(replica, replica.fault)
   })
 }
--- a/packages/daemon/src/run.ts
+++ b/packages/daemon/src/run.ts
@@ -47,7 +47,7 @@
   const metrics = createMetrics(settings, log)
   const exit = (code: number) => exitAfterFlush(log, code)
   const fail = (err: unknown) => {
-    log.fatal({ err }, 'Unexpected failure; the process stops')
+    log.fatal({ event: 'failure', err }, 'Unexpected failure; the process stops')
     exit(EXIT.interrupted)
   }
   process.on('uncaughtException', fail)
--- a/packages/daemon/src/stop-signals.ts
+++ b/packages/daemon/src/stop-signals.ts
@@ -11,20 +11,20 @@
   async function stop (): Promise<void> {
     await running?.drain()
     await running?.stop()
-    log.info('Stopped')
+    log.info({ event: 'stop' }, 'Stopped')
     exit(EXIT.ok)
   }
 
   const onSignal = (signal: NodeJS.Signals) => {
     if (stopping) {
-      log.warn({ signal }, 'Second signal: stopping at once; work in flight is interrupted')
+      log.warn({ event: 'signal', signal }, 'Second signal: stopping at once; work in flight is interrupted')
       exit(EXIT.interrupted)
       return
     }
     stopping = true
-    log.info({ signal }, 'Stopping; send the signal again to stop at once')
+    log.info({ event: 'signal', signal }, 'Stopping; send the signal again to stop at once')
     stop().catch((err: unknown) => {
-      log.fatal({ err }, 'The planned stop failed')
+      log.fatal({ event: 'failure', err }, 'The planned stop failed')
       exit(EXIT.interrupted)
     })
   }
--- a/packages/node/src/calls/executor.ts
+++ b/packages/node/src/calls/executor.ts
@@ -26,6 +26,8 @@
   targetHeaders?: TargetHeaders
   /** Says why an answer is none to the call that was sent, or that the target did not run it. */
   judgeAnswer?: (call: IncomingCall, reply: Pick<TargetHead, 'status' | 'headers'>) => Refusal | undefined
+  /** Called for each call that came to nothing here, with the load that the decision was based on. */
+  onRefused?: (call: IncomingCall, refusal: Refusal, report: CallReport) => void
 }
 
 type TargetHead = Extract<TargetReply, { kind: 'head' }>
@@ -36,15 +38,20 @@
 /** Runs calls of other nodes at the target beside this one. */
 export function createExecutor (options: ExecutorOptions) {
   const { target, gate, inbound, guard, clock } = options
-  const { targetHeaders = ownHeaders, judgeAnswer = () => undefined } = options
+  const { targetHeaders = ownHeaders, judgeAnswer = () => undefined, onRefused = () => {} } = options
 
   const reportOf = (call: InboundCall): CallReport => {
     const load = gate.load()
     return { pathLevel: Math.max(load.level, call.childLevel()), regionBytes: call.childRegionBytes(), load }
   }
 
+  const refuseCall = (call: IncomingCall, refusal: Refusal, report: CallReport): void => {
+    onRefused(call, refusal, report)
+    call.refuse(refusal, report)
+  }
+
   const run = async (call: IncomingCall, deadline: CallDeadline, self: InboundCall): Promise<void> => {
-    const refuse = (refusal: Refusal) => call.refuse(refusal, reportOf(self))
+    const refuse = (refusal: Refusal) => refuseCall(call, refusal, reportOf(self))
     const closed = options.closedFor() ?? noTarget(call, target)
     if (closed !== undefined) return refuse(closed)
     if (deadline.remainingMs() <= 0) return refuse(notRun('deadline-exceeded', 'the deadline had passed when the call arrived'))
@@ -93,7 +100,7 @@
     })
     if (entered.kind === 'refused') {
       releaseClaim(once)
-      return call.refuse(entered.refusal, reportOf(self))
+      return refuseCall(call, entered.refusal, reportOf(self))
     }
     const { permit } = entered
     const startedMs = clock.nowMs()
@@ -102,7 +109,7 @@
     if (current === undefined || deadline.signal.aborted) {
       permit.release({ kind: 'cancelled', latencyMs: 0 })
       releaseClaim(once)
-      return call.refuse(notRun('deadline-exceeded', 'the call was cancelled or its deadline passed before it was sent to the target'), reportOf(self))
+      return refuseCall(call, notRun('deadline-exceeded', 'the call was cancelled or its deadline passed before it was sent to the target'), reportOf(self))
     }
     const body = await targetBody(call, bytes)
     const reply = await current.client.run({
@@ -118,9 +125,9 @@
       reply.abort()
       permit.release({ kind: judged.outcome === 'not-run' ? 'targetShed' : 'failed', latencyMs: latencyMs() })
       if (judged.outcome === 'not-run') releaseClaim(once)
-      return call.refuse(judged, { ...reportOf(self), reachedTarget: true })
+      return refuseCall(call, judged, { ...reportOf(self), reachedTarget: true })
     }
-    const end = await passAnswer({ call, self, once, reply, report: () => reportOf(self) })
+    const end = await passAnswer({ call, self, once, reply, report: () => reportOf(self), refuse: refuseCall })
     permit.release(endOf({ end, status: reply.status, latencyMs: latencyMs(), self }, deadline))
   }
 
@@ -129,7 +136,7 @@
     if (!reply.sent) releaseClaim(once)
     const code = deadline.expired() ? 'deadline-exceeded' : 'target-lost'
     const refusal = reply.sent ? unknownOutcome(code, reply.message) : notRun(code, reply.message, 1)
-    call.refuse(refusal, { ...reportOf(self), reachedTarget: reply.sent })
+    refuseCall(call, refusal, { ...reportOf(self), reachedTarget: reply.sent })
   }
 
   return {
@@ -144,7 +151,7 @@
         signal: deadline.signal
       })
       run(call, deadline, self)
-        .catch((err: unknown) => call.refuse(unknownOutcome('internal-error', `the node beside the target failed: ${String(err)}`), reportOf(self)))
+        .catch((err: unknown) => refuseCall(call, unknownOutcome('internal-error', `the node beside the target failed: ${String(err)}`), reportOf(self)))
         .finally(() => {
           deadline.done()
           inbound.close(self)
@@ -222,10 +229,11 @@
   once: OnceRun | undefined
   reply: Extract<TargetReply, { kind: 'head' }>
   report: () => CallReport
+  refuse: (call: IncomingCall, refusal: Refusal, report: CallReport) => void
 }
 
 async function passAnswer (passage: AnswerPassage): Promise<AnswerEnd> {
-  const { call, once, reply, report } = passage
+  const { call, once, reply, report, refuse } = passage
   try {
     if (once !== undefined) {
       await recordAnswer(passage, once)
@@ -237,7 +245,7 @@
     return 'complete'
   } catch (err) {
     // The target's answer broke off; the caller must not take what it has for the whole.
-    call.refuse(unknownOutcome('bad-answer', `the target's answer broke off: ${err instanceof Error ? err.message : String(err)}`), report())
+    refuse(call, unknownOutcome('bad-answer', `the target's answer broke off: ${err instanceof Error ? err.message : String(err)}`), report())
     return 'cut'
   }
 }
--- a/packages/node/src/documents/document-poller.ts
+++ b/packages/node/src/documents/document-poller.ts
@@ -126,7 +126,7 @@
       if (!applied) {
         lastProblem = `control VM ${target.vmId} confirms another revision than ${revision()}, which this node has`
         // A revision below an accepted one can't be current; the control VMs have lost state.
-        if (!needsFull) log.error({ revision: revision(), control: target.vmId }, 'a control VM confirms an older revision; check "orioleslip status"')
+        if (!needsFull) log.error({ event: 'older-revision', subject, revision: revision(), control: target.vmId }, 'a control VM confirms an older revision; check "orioleslip status"')
         return false
       }
       if (!confirmed && document !== undefined) {
--- a/packages/node/src/members/members.ts
+++ b/packages/node/src/members/members.ts
@@ -92,7 +92,7 @@
     if (result !== 'applied' || now === undefined) return false
     const { host, port } = gossipAddress(now.record)
     if (host === self.host && port === self.gossipPort) table.judge(vmId, 'failed')
-    if (old?.liveness === 'failed' && now.liveness === 'alive') log.info({ vmId }, 'failed member is back')
+    if (old?.liveness === 'failed' && now.liveness === 'alive') log.info({ event: 'member', vmId, state: 'alive' }, 'failed member is back')
     if (passOn) {
       const urgent = old?.record.target?.state !== now.record.target?.state || now.liveness === 'left'
       spread.add(vmId, { full: update.record !== undefined, urgent })
@@ -106,7 +106,7 @@
     channel.stats.receivedBytes += data.length
     const msg = decodeMessage(fleetKey, data)
     if (msg === undefined) {
-      if (channel.stats.rejected++ === 0) log.warn({ from }, 'datagram rejected: it has another fleet key or form; compare auth.fleetKey')
+      if (channel.stats.rejected++ === 0) log.warn({ event: 'datagram-rejected', from }, 'datagram rejected: it has another fleet key or form; compare auth.fleetKey')
       return
     }
     if (isSelf(msg.from)) return
@@ -136,7 +136,7 @@
   }
 
   const resume = (frozenMs: number) => {
-    log.warn({ frozenMs }, 'this process did not run for a while; no new work until another member has answered')
+    log.warn({ event: 'frozen', frozenMs }, 'this process did not run for a while; no new work until another member has answered')
     table.extendSuspicions(frozenMs)
     if (view.reachable().length > 0) resumingSinceSeq = prober.greet(GOSSIP_FANOUT)
     view.changed()
@@ -151,7 +151,7 @@
   }
 
   const logIds = (records: MemberRecord[], text: string) => {
-    if (records.length > 0) log.info({ count: records.length, vmIds: records.slice(0, LOGGED_IDS).map(({ vmId }) => vmId) }, text)
+    if (records.length > 0) log.info({ event: 'members', count: records.length, vmIds: records.slice(0, LOGGED_IDS).map(({ vmId }) => vmId) }, text)
   }
 
   const runGossip = async () => {
--- a/packages/node/src/members/own-record.ts
+++ b/packages/node/src/members/own-record.ts
@@ -40,12 +40,12 @@
       const other = update.record
       const elsewhere = other !== undefined && update.liveness === 'alive' && (other.host !== own.host || other.gossipPort !== own.gossipPort)
       if (elsewhere && conflicts++ % CONFLICTS_PER_LOG === 0) {
-        log.warn({ vmId: own.vmId, otherHost: other.host, otherPort: other.gossipPort },
+        log.warn({ event: 'vm-id-conflict', vmId: own.vmId, otherHost: other.host, otherPort: other.gossipPort },
           'another process uses this VM id; stop it or give it its own vm.id in the settings')
       }
       own = { ...own, incarnation: update.incarnation + 1 }
       const level = elsewhere ? 'debug' : 'info'
-      log[level]({ statement: update.liveness, incarnation: own.incarnation }, 'refuted a statement about this process')
+      log[level]({ event: 'refuted', statement: update.liveness, incarnation: own.incarnation }, 'refuted a statement about this process')
       return true
     }
   }
--- a/packages/node/src/members/prober.ts
+++ b/packages/node/src/members/prober.ts
@@ -60,13 +60,13 @@
 
   const fail = (record: MemberRecord, reason: string) => {
     if (!table.judge(record.vmId, 'failed')) return
-    log.info({ vmId: record.vmId, host: record.host }, reason)
+    log.info({ event: 'member', vmId: record.vmId, state: 'failed', host: record.host }, reason)
     view.changed()
   }
 
   const doubt = (record: MemberRecord): boolean => {
     if (!table.judge(record.vmId, 'suspect')) return false
-    log.debug({ vmId: record.vmId }, 'member does not answer probes')
+    log.info({ event: 'member', vmId: record.vmId, state: 'suspect' }, 'member does not answer probes')
     view.changed()
     return true
   }
--- a/packages/node/src/members/target-watch.ts
+++ b/packages/node/src/members/target-watch.ts
@@ -46,7 +46,7 @@
       await clock.sleep(CHECK_INTERVAL_MS, stopping.signal)
       silentMs += Math.min(MAX_COUNTED_MS, clock.nowMs() - startMs)
       if (stopping.signal.aborted || current === undefined || current.state === 'gone' || silentMs < silenceMs) continue
-      log.warn({ service: current.service, silentMs }, 'target no longer announces itself; it gets no work until it does')
+      log.warn({ event: 'target', service: current.service, state: 'gone', silentMs }, 'target no longer announces itself; it gets no work until it does')
       change({ ...current, state: 'gone' })
     }
   }
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -97,7 +97,7 @@
     address: peerAddress,
     identity: { fleetKey, vmId: vm.id },
     handlers: { onCall: executor.execute, onAsk: answers },
-    onRejected: (remote, message) => log.warn({ remote }, `peer connection rejected: ${message}`)
+    onRejected: (remote, message) => log.warn({ event: 'peer-rejected', remote }, `peer connection rejected: ${message}`)
   })
   const askRetry = createAskRetry({ clock, self: peerAddress, ledger, send: createRetryQuestion(pool) })
   const latencies = createLatencies(clock)
@@ -159,7 +159,7 @@
   ]
   members.start()
   watch.start()
-  log.info({ vmId: vm.id, callerPort: cfg.callerPort, peerPort: cfg.peerPort }, 'node started')
+  log.info({ event: 'start', vmId: vm.id, callerPort: cfg.callerPort, peerPort: cfg.peerPort }, 'node started')
 
   const stop = async () => {
     for (const timer of timers) clearInterval(timer)
--- a/packages/node/src/routes/routed-node.ts
+++ b/packages/node/src/routes/routed-node.ts
@@ -1,4 +1,7 @@
-import { LEVEL_INTERVAL_MS, notRun, systemClock, systemRandom, type Clock, type PeerAddress, type Random, type Settings } from '@orioleslip/core'
+import {
+  LEVEL_INTERVAL_MS, notRun, systemClock, systemRandom,
+  type Clock, type PeerAddress, type Random, type Refusal, type Settings
+} from '@orioleslip/core'
 import type { Logger } from 'pino'
 import { createTargetGate } from '../admission/target-gate.js'
 import { createExecutor } from '../calls/executor.js'
@@ -7,7 +10,9 @@
 import type { OnceGuard } from '../idempotency/once-guard.js'
 import { createAnnouncedLimit } from '../limits/announced-limit.js'
 import { createLatencies } from '../limits/latencies.js'
+import type { IncomingCall } from '../links/incoming-call.js'
 import { listenForPeers } from '../links/listener.js'
+import type { CallReport } from '../links/messages.js'
 import { createPeerPool } from '../links/pool.js'
 import { createTargetWatch } from '../members/target-watch.js'
 import { joinMembership } from '../membership.js'
@@ -75,7 +80,8 @@
     // After a freeze the fleet may have given this node's work to others; it takes none until it has refuted its failure.
     closedFor: () => members.isConfirmed() ? availability.targetClosed() : notRun('no-target', 'the node is not yet a confirmed member', 1),
     targetHeaders: createRoutedTargetHeaders(names),
-    judgeAnswer: createAnswerJudge(names)
+    judgeAnswer: createAnswerJudge(names),
+    onRefused: (call, refusal, report) => logRefusedCall(log, call, refusal, report)
   })
   const listener = await listenForPeers({
     address: peerAddress,
@@ -175,6 +181,22 @@
   begin: () => Promise.resolve({ kind: 'refuse', refusal: notRun('bad-request', 'routed calls carry no idempotency key') })
 }
 
+function logRefusedCall (log: Logger, { head }: IncomingCall, refusal: Refusal, { load, reachedTarget }: CallReport): void {
+  log.info({
+    event: 'call-refused',
+    requestId: head.root.requestId,
+    route: head.opKey,
+    service: head.service,
+    priority: head.root.priority,
+    remainingMs: Math.round(head.remainingMs),
+    code: refusal.code,
+    outcome: refusal.outcome,
+    reachedTarget: reachedTarget === true,
+    detail: refusal.detail,
+    ...(load === undefined ? {} : { admissionLevel: load.level, inFlight: load.inFlight, queued: load.queued, limit: load.limit })
+  }, 'call came to nothing at this node')
+}
+
 function logEnding (log: Logger, ending: RouteEnding): void {
   if (ending.outcome === 'complete' && ending.status < 500) log.debug({ event: 'request', ...ending }, 'request ended')
   else log.info({ event: 'request', ...ending }, 'request failed')
--- a/packages/node/src/server/planned-stop.ts
+++ b/packages/node/src/server/planned-stop.ts
@@ -30,19 +30,19 @@
 export function createPlannedStop (options: PlannedStopOptions): () => Promise<void> {
   const { availability, members, openWork, drainTimeoutS, clock, log } = options
   return async () => {
-    log.info('planned stop: the target is announced as leaving')
+    log.info({ event: 'drain', drainTimeoutS }, 'planned stop: the target is announced as leaving')
     availability.stop()
     options.announceLeaving()
     await clock.sleep(LEAVE_SPREAD_MS)
     // The last state spreads while calls end, so that the whole stop stays short.
     const gone = members.leave()
     const left = await waitForOpenWork(openWork, drainTimeoutS * 1000, clock)
-    if (left > 0) log.warn({ left, drainTimeoutS }, 'the drain timeout has passed; calls in flight are cut; raise node.drainTimeoutS')
+    if (left > 0) log.warn({ event: 'drain', left, drainTimeoutS }, 'the drain timeout has passed; calls in flight are cut; raise node.drainTimeoutS')
     await Promise.race([options.recordsWritten(), clock.sleep(RECORD_PATIENCE_MS)])
     await gone
     // Requests that came since are being refused; cutting them would hide from callers that they did not run.
     await Promise.race([options.requestsEnded(), clock.sleep(CLOSE_PATIENCE_MS)])
     await options.stop()
-    log.info('node stopped')
+    log.info({ event: 'stop' }, 'node stopped')
   }
 }
