Apply changes of lists and routes by one function

Cause: the pollers of lists and of routes had the same code twice. Change: document-poller.ts has it, with the delta's application as its argument. No behaviour changes; not measured.

--- a/packages/node/src/documents/document-poller.ts
+++ b/packages/node/src/documents/document-poller.ts
@@ -27,6 +27,27 @@
   /** The change does not fit to the document at hand; the whole one is needed. */
   | { kind: 'unfit' }
 
+/** What a control VM answers to a poll. */
+export type DocumentChange<Doc, Delta> =
+  | { kind: 'unchanged', revision: number }
+  | { kind: 'full', document: Doc }
+  | { kind: 'deltas', deltas: Delta[] }
+
+/** Creates the application of changes to a document; `applyDelta` gives undefined where a delta does not fit. */
+export function createApplyChange<Doc, Delta> (applyDelta: (document: Doc, delta: Delta) => Doc | undefined) {
+  return (document: Doc | undefined, change: DocumentChange<Doc, Delta>): Applied<Doc> => {
+    switch (change.kind) {
+      case 'unchanged': return change
+      case 'full': return { kind: 'document', document: change.document }
+      case 'deltas': {
+        let next = document
+        for (const delta of change.deltas) next = next === undefined ? undefined : applyDelta(next, delta)
+        return next === undefined ? { kind: 'unfit' } : { kind: 'document', document: next }
+      }
+    }
+  }
+}
+
 /** Keeps a document of the control VMs current on this node. */
 export type DocumentPoller<Index> = {
   /** The document in effect on this node; the revision only increases. */
--- a/packages/node/src/lists/poller.ts
+++ b/packages/node/src/lists/poller.ts
@@ -1,7 +1,7 @@
 import type { ListsChange } from '@orioleslip/control/client'
 import { applyDelta, createListsIndex, type Clock, type ControlPeer, type ListsDocument, type ListsIndex, type Random } from '@orioleslip/core'
 import type { Logger } from 'pino'
-import { createDocumentPoller, type Applied, type DocumentPoller, type PollTarget } from '../documents/document-poller.js'
+import { createApplyChange, createDocumentPoller, type DocumentPoller, type PollTarget } from '../documents/document-poller.js'
 import { connectPollTarget } from './control-poll.js'
 
 /** Keeps the lists of this node current. */
@@ -26,7 +26,7 @@
   return createDocumentPoller<ListsDocument, ListsChange, ListsIndex>({
     subject: 'lists',
     targets: () => targets,
-    apply: applyChange,
+    apply: createApplyChange(applyDelta),
     index: createListsIndex,
     vmId,
     log,
@@ -35,15 +35,3 @@
     ...(callerAddress === undefined ? {} : { callerAddress })
   })
 }
-
-function applyChange (document: ListsDocument | undefined, change: ListsChange): Applied<ListsDocument> {
-  switch (change.kind) {
-    case 'unchanged': return change
-    case 'full': return { kind: 'document', document: change.document }
-    case 'deltas': {
-      let next = document
-      for (const delta of change.deltas) next = next === undefined ? undefined : applyDelta(next, delta)
-      return next === undefined ? { kind: 'unfit' } : { kind: 'document', document: next }
-    }
-  }
-}
--- a/packages/node/src/routes/routes-poller.ts
+++ b/packages/node/src/routes/routes-poller.ts
@@ -1,7 +1,7 @@
 import { createRoutesClient, toAuthority, type RoutesChange } from '@orioleslip/control/client'
 import { applyRoutesDelta, createRoutesIndex, type Clock, type MembersView, type Random, type RoutesDocument, type RoutesIndex, type Seed } from '@orioleslip/core'
 import type { Logger } from 'pino'
-import { createDocumentPoller, type Applied, type DocumentPoller, type PollTarget } from '../documents/document-poller.js'
+import { createApplyChange, createDocumentPoller, type DocumentPoller, type PollTarget } from '../documents/document-poller.js'
 
 export type RoutesPollerOptions = {
   seeds: readonly Seed[]
@@ -48,7 +48,7 @@
   return createDocumentPoller<RoutesDocument, RoutesChange, RoutesIndex>({
     subject: 'routes',
     targets,
-    apply: applyChange,
+    apply: createApplyChange(applyRoutesDelta),
     index: createRoutesIndex,
     vmId,
     log,
@@ -58,15 +58,3 @@
     answerMarginMs: ANSWER_MARGIN_MS
   })
 }
-
-function applyChange (document: RoutesDocument | undefined, change: RoutesChange): Applied<RoutesDocument> {
-  switch (change.kind) {
-    case 'unchanged': return change
-    case 'full': return { kind: 'document', document: change.document }
-    case 'deltas': {
-      let next = document
-      for (const delta of change.deltas) next = next === undefined ? undefined : applyRoutesDelta(next, delta)
-      return next === undefined ? { kind: 'unfit' } : { kind: 'document', document: next }
-    }
-  }
-}
