Give each run of the daemon's test its own gossip port

Change: the gossip port has the number of the free port that the run took.

Measured: two runs side by side, three times: before, one of the two failed each time; after, all passed.

--- a/packages/daemon/src/daemon.test.ts
+++ b/packages/daemon/src/daemon.test.ts
@@ -18,14 +18,14 @@
 failureDomain = "r1-a"
 [control]
 apiPort = ${port}
-gossipPort = 1
+gossipPort = ${port}
 dataDir = ${JSON.stringify(dataDir)}
 ${extra}
 [[controls]]
 vmId = "c1"
 address = "127.0.0.1"
 apiPort = ${port}
-gossipPort = 1
+gossipPort = ${port}
 failureDomain = "r1-a"
 [auth]
 fleetKey = "fleet-key-0123456789"
