Serve the metrics of each process for Prometheus

Cause: metrics went to StatsD only, and nodes and control VMs that follow routes had none, so that a failure on the users' machines could not be seen in figures.

Change: a [prometheus] table gives port and path; counters, histograms and gauges keep their names. Routed nodes count requests, refusals and retries; routed control VMs report revision, term, leader and commit index.

--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -20,11 +20,10 @@
 import { createAuditTrail } from './audit/trail.js'
 import { createKeyGroup } from './keys/key-group.js'
 import { createListsMachine } from './lists/state-machine.js'
+import { runMetrics, type Metrics } from './metrics.js'
 import type { ReplicationMessage } from './replication/messages.js'
 import { createReplicatedLog, type ControlLog } from './replication/replicated-log.js'
 
-/** The part of a StatsD client that control uses. */
-export type Metrics = { gauge: (name: string, value: number) => void }
 export type ControlDeps = { log: Logger, metrics?: Metrics, clock?: Clock, keyGroup?: KeyGroup }
 type GroupLog = Pick<ControlLog<never, unknown>, 'init' | 'status' | 'confirmCurrent' | 'handle' | 'close'>
 
@@ -32,7 +31,6 @@
 /** The process can't start; `message` names the cause and the remedy. */
 export type ControlStartError = { kind: 'controlStartFailed', message: string }
 
-const METRICS_INTERVAL_MS = 10_000
 // Longer than the log's wait for a forwarded proposal (3.25 s); the log applies its own limits to other messages.
 const PEER_TIMEOUT_MS = 5000
 // Keeps `status` quick while another control VM is frozen.
@@ -138,18 +136,3 @@
     }
   })
 }
-
-async function runMetrics (report: () => VmReport, metrics: Metrics | undefined, clock: Clock, signal: AbortSignal): Promise<void> {
-  if (metrics === undefined) return
-  while (!signal.aborted) {
-    const { revision, groups, nodes } = report()
-    metrics.gauge('control.revision', revision)
-    metrics.gauge('control.polling_nodes', nodes.length)
-    for (const { group, role, term, commitIndex } of groups) {
-      metrics.gauge(`control.${group}.leader`, role === 'leader' ? 1 : 0)
-      metrics.gauge(`control.${group}.term`, term)
-      metrics.gauge(`control.${group}.commit_index`, commitIndex)
-    }
-    await clock.sleep(METRICS_INTERVAL_MS, signal)
-  }
-}
--- /dev/null
+++ b/packages/control/src/metrics.ts
@@ -0,0 +1,23 @@
+import type { Clock } from '@orioleslip/core'
+import type { VmReport } from './api/status-service.js'
+
+/** The part of a receiver of metrics that control uses. */
+export type Metrics = { gauge: (name: string, value: number) => void }
+
+const METRICS_INTERVAL_MS = 10_000
+
+/** Reports the state of a control VM until the signal aborts. */
+export async function runMetrics (report: () => Omit<VmReport, 'vmId'>, metrics: Metrics | undefined, clock: Clock, signal: AbortSignal): Promise<void> {
+  if (metrics === undefined) return
+  while (!signal.aborted) {
+    const { revision, groups, nodes } = report()
+    metrics.gauge('control.revision', revision)
+    metrics.gauge('control.polling_nodes', nodes.length)
+    for (const { group, role, term, commitIndex } of groups) {
+      metrics.gauge(`control.${group}.leader`, role === 'leader' ? 1 : 0)
+      metrics.gauge(`control.${group}.term`, term)
+      metrics.gauge(`control.${group}.commit_index`, commitIndex)
+    }
+    await clock.sleep(METRICS_INTERVAL_MS, signal)
+  }
+}
--- a/packages/control/src/routes/routes-control.ts
+++ b/packages/control/src/routes/routes-control.ts
@@ -8,6 +8,7 @@
 import { startApiServer } from '../api/server.js'
 import { createSharedConfirm } from '../api/shared-confirm.js'
 import type { ControlStartError } from '../control.js'
+import { runMetrics, type Metrics } from '../metrics.js'
 import type { ReplicationMessage } from '../replication/messages.js'
 import { createReplicatedLog } from '../replication/replicated-log.js'
 import { runBootstrap } from './bootstrap.js'
@@ -21,9 +22,9 @@
 
 /** Starts the replica of the routes log, its API and, at the first start of the fleet, the group. */
 export async function startRoutesControl (
-  settings: Settings, deps: { log: Logger, clock?: Clock }
+  settings: Settings, deps: { log: Logger, metrics?: Metrics, clock?: Clock }
 ): Promise<Result<RoutesControl, ControlStartError>> {
-  const { log, clock = systemClock } = deps
+  const { log, metrics, clock = systemClock } = deps
   const { vm, control: own, discovery, auth: { fleetKey } } = settings
   const fail = (message: string) => err<RoutesControl, ControlStartError>({ kind: 'controlStartFailed', message })
   if (own === undefined || discovery === undefined) return fail('the settings need a [control] and a [discovery] table; add them')
@@ -47,6 +48,8 @@
   if (opened.isErr()) return fail(opened.error.message)
   const routes = opened.value
   const confirm = createSharedConfirm(routes)
+  const reports = createNodeReports(clock)
+  const revision = () => machine.document()?.revision ?? -1
   const server = await startApiServer({
     address: vm.address,
     port: own.apiPort,
@@ -57,9 +60,9 @@
     router: createRoutesRouter({
       node: createNodeService({
         lists: routes,
-        machine: { since: machine.since, revision: () => machine.document()?.revision ?? -1 },
+        machine: { since: machine.since, revision },
         confirm,
-        reports: createNodeReports(clock),
+        reports,
         clock,
         stopping: stopping.signal
       }),
@@ -73,6 +76,8 @@
   const bootstrap = discovery.firstStart
     ? runBootstrap({ log, clock, routes, self, seeds, signal: stopping.signal })
     : Promise.resolve()
+  const report = () => ({ revision: revision(), groups: [routes.status()], nodes: reports.list() })
+  const sampler = runMetrics(report, metrics, clock, stopping.signal)
   log.info({ event: 'start', vmId: vm.id, address: self, dataDir: own.dataDir }, 'control process is up')
   return ok({
     service: createRoutesService({ routes, machine, confirm, minVoters: voters, log }),
@@ -81,7 +86,7 @@
       await server.value.stop()
       await routes.close()
       await clients.close()
-      await bootstrap
+      await Promise.all([bootstrap, sampler])
     }
   })
 }
--- a/packages/core/src/settings/schema.ts
+++ b/packages/core/src/settings/schema.ts
@@ -95,7 +95,9 @@
   }),
   log: z.strictObject({ level: z.enum(['trace', 'debug', 'info', 'warn', 'error']).default('info') }).prefault({}),
   /** StatsD receiver; metrics are off without it. */
-  metrics: z.strictObject({ host: address, port, prefix: z.string().default('orioleslip.') }).optional()
+  metrics: z.strictObject({ host: address, port, prefix: z.string().default('orioleslip.') }).optional(),
+  /** Page of this process for Prometheus, at its own address; there is none without it. */
+  prometheus: z.strictObject({ port, path: z.string().startsWith('/').default('/metrics') }).optional()
 }).superRefine((settings, ctx) => {
   const needed = settings.role
   if (settings[needed] === undefined) ctx.addIssue({ code: 'custom', path: [needed], message: `role is "${needed}"; add a [${needed}] table` })
--- a/packages/daemon/src/process.ts
+++ b/packages/daemon/src/process.ts
@@ -1,5 +1,6 @@
 // What every process of the project shares, without the modules of the daemon's own roles.
 export { EXIT } from './exit-codes.js'
+export { startMetrics } from './metrics.js'
 export { createProcessLog, exitAfterFlush } from './process-log.js'
 export type { RunningRole } from './roles.js'
 export { handleStopSignals } from './stop-signals.js'
--- a/packages/daemon/src/roles.ts
+++ b/packages/daemon/src/roles.ts
@@ -1,11 +1,11 @@
 import { startControl } from '@orioleslip/control'
 import { systemClock, systemRandom, type Settings } from '@orioleslip/core'
+import type { MetricsSink } from '@orioleslip/node'
 import { joinMembership } from '@orioleslip/node/membership'
-import type { StatsD } from 'hot-shots'
 import { err, ok, type Result } from 'neverthrow'
 import type { Logger } from 'pino'
 
-export type RoleDeps = { log: Logger, metrics?: StatsD }
+export type RoleDeps = { log: Logger, metrics?: MetricsSink }
 
 /** A started role; `drain` ends when no work is left, `stop` frees everything. */
 export type RunningRole = { drain: () => Promise<void>, stop: () => Promise<void> }
--- a/packages/daemon/src/run.ts
+++ b/packages/daemon/src/run.ts
@@ -1,7 +1,7 @@
 import { Command, CommanderError } from 'commander'
 import { EXIT } from './exit-codes.js'
 import { loadSettings } from './load-settings.js'
-import { createMetrics } from './metrics.js'
+import { startMetrics } from './metrics.js'
 import { startRole } from './roles.js'
 import { createProcessLog, exitAfterFlush } from './process-log.js'
 import { handleStopSignals } from './stop-signals.js'
@@ -44,7 +44,6 @@
     return EXIT.ok
   }
   const log = createProcessLog(settings)
-  const metrics = createMetrics(settings, log)
   const exit = (code: number) => exitAfterFlush(log, code)
   const fail = (err: unknown) => {
     log.fatal({ event: 'failure', err }, 'Unexpected failure; the process stops')
@@ -53,7 +52,14 @@
   process.on('uncaughtException', fail)
   process.on('unhandledRejection', fail)
   const signals = handleStopSignals({ log, exit })
-  const role = await startRole(settings, { log, ...(metrics === undefined ? {} : { metrics }) })
+  const metrics = await startMetrics(settings, log)
+  if (metrics.isErr()) {
+    log.fatal({ event: 'failure' }, metrics.error)
+    exit(EXIT.startFailed)
+    return undefined
+  }
+  const { value: sink } = metrics
+  const role = await startRole(settings, { log, ...(sink === undefined ? {} : { metrics: sink }) })
   if (role.isErr()) {
     log.fatal(role.error.message)
     exit(EXIT.startFailed)
--- a/packages/node/src/calls/node-stats.ts
+++ b/packages/node/src/calls/node-stats.ts
@@ -1,4 +1,4 @@
-import type { RefusalCode } from '@orioleslip/core'
+import type { LoadReport, RefusalCode } from '@orioleslip/core'
 
 /** Receiver of metrics; hot-shots' client fits. */
 export type MetricsSink = {
@@ -28,6 +28,15 @@
   snapshot: () => StatsSnapshot
 }
 
+/** Reports the load of the gate in front of the target. */
+export function reportGauges (metrics: MetricsSink | undefined, load: LoadReport): void {
+  if (metrics === undefined) return
+  metrics.gauge('admission_level', load.level)
+  metrics.gauge('target_in_flight', load.inFlight)
+  metrics.gauge('target_queued', load.queued)
+  metrics.gauge('target_limit', load.limit)
+}
+
 /** Creates the counters; each change also goes to the metrics sink, if there is one. */
 export function createNodeStats (metrics: MetricsSink | undefined): NodeStats {
   const stats: StatsSnapshot = {
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -12,7 +12,7 @@
 import { createExecutor } from './calls/executor.js'
 import { createForwarder } from './calls/forwarder.js'
 import { createInboundCalls } from './calls/inbound-calls.js'
-import { createNodeStats, type MetricsSink } from './calls/node-stats.js'
+import { createNodeStats, reportGauges, type MetricsSink } from './calls/node-stats.js'
 import { createControlCall } from './idempotency/control-call.js'
 import { resolveLostCall } from './idempotency/lost-call.js'
 import { createOnceGuard } from './idempotency/once-guard.js'
@@ -184,11 +184,3 @@
   })
   return { drain, stop }
 }
-
-function reportGauges (metrics: MetricsSink | undefined, load: { level: number, inFlight: number, queued: number, limit: number }): void {
-  if (metrics === undefined) return
-  metrics.gauge('admission_level', load.level)
-  metrics.gauge('target_in_flight', load.inFlight)
-  metrics.gauge('target_queued', load.queued)
-  metrics.gauge('target_limit', load.limit)
-}
--- a/packages/node/src/routes/route-handler.ts
+++ b/packages/node/src/routes/route-handler.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import {
-  endToEndHeaders, headerValue, newTraceId, notRun, unknownOutcome,
-  type Clock, type MemberRecord, type Operation, type Refusal, type RootContext, type Route, type RoutesIndex
+  endToEndHeaders, headerValue, newTraceId, notRun, REFUSALS, unknownOutcome,
+  type Clock, type MemberRecord, type Operation, type Refusal, type RefusalCode, type RootContext, type Route, type RoutesIndex
 } from '@orioleslip/core'
 import { err, ok, type Result } from 'neverthrow'
 import { writeAnswer, writeRefusal } from '../calls/answer-writer.js'
@@ -24,6 +24,8 @@
   revision: number
   priority: number
   status: number
+  /** Set where a node refused the request, or gave it up. */
+  refusal?: RefusalCode
   outcome: string
   detail: string
   attempts: AttemptRecord[]
@@ -50,7 +52,7 @@
 const HELD_BODY_BYTES = 1024 * 1024
 
 type Admitted = { route: Route, requestId: string, revision: number, deadlineMs: number, bodyBytes: number | undefined }
-type Ended = Pick<RouteEnding, 'status' | 'outcome' | 'detail' | 'attempts'>
+type Ended = Pick<RouteEnding, 'status' | 'refusal' | 'outcome' | 'detail' | 'attempts'>
 
 /** Handles requests that clients and the target beside this node send on routes; never rejects. */
 export function createRouteHandler (options: RouteHandlerOptions): CountedHandler {
@@ -158,7 +160,7 @@
 function refuse (req: IncomingMessage, res: ServerResponse, requestId: string, given: Refusal, attempts: AttemptRecord[]): Ended {
   const refusal = clientRefusal(given)
   writeRefusal(req, res, refusal, requestId)
-  return { status: 0, outcome: refusal.outcome, detail: `${refusal.code}: ${refusal.detail}`, attempts }
+  return { status: REFUSALS[refusal.code].status, refusal: given.code, outcome: refusal.outcome, detail: `${refusal.code}: ${refusal.detail}`, attempts }
 }
 
 /** The part of a route that decides on the calls below the entry. */
--- a/packages/node/src/routes/routed-node.ts
+++ b/packages/node/src/routes/routed-node.ts
@@ -7,6 +7,7 @@
 import { createExecutor } from '../calls/executor.js'
 import { createForwarder } from '../calls/forwarder.js'
 import { createInboundCalls } from '../calls/inbound-calls.js'
+import { createNodeStats, reportGauges, type MetricsSink } from '../calls/node-stats.js'
 import type { OnceGuard } from '../idempotency/once-guard.js'
 import { createAnnouncedLimit } from '../limits/announced-limit.js'
 import { createLatencies } from '../limits/latencies.js'
@@ -35,6 +36,7 @@
   names: CallHeaderNames
   /** Service of the target beside this node. */
   callerService: string
+  metrics?: MetricsSink
   clock?: Clock
   random?: Random
 }
@@ -52,9 +54,12 @@
 /** Idle connections of callers are kept this long before any routes are known, in ms. */
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000
 
+/** Gauges are reported each second; a timer of their own would wake an idle process more often. */
+const GAUGE_TICKS = 1000 / LEVEL_INTERVAL_MS
+
 /** Starts the process beside a target in a fleet that follows routes; rejects when a port can't be opened. */
 export async function startRoutedNode (settings: Settings, deps: RoutedNodeDeps): Promise<RoutedNode> {
-  const { log, names } = deps
+  const { log, names, metrics } = deps
   const clock = deps.clock ?? systemClock
   const random = deps.random ?? systemRandom
   const { vm, node: cfg, discovery, auth: { fleetKey } } = settings
@@ -66,6 +71,7 @@
   const routes = () => poller.confirmed ? poller.current() : undefined
   const availability = createAvailability(clock, cfg.leaveSpreadMs)
   const inbound = createInboundCalls(clock.nowMs)
+  const stats = createNodeStats(metrics)
   const gate = createTargetGate({ clock, limiter: createAnnouncedLimit() })
   const target = createLocalTarget(vm.address, { acceptUnframed: true })
   target.onStarted(gate.targetStarted)
@@ -103,7 +109,7 @@
     regionsOpen: true,
     latencies: createLatencies(clock),
     clock,
-    onRetry: () => {},
+    onRetry: stats.retried,
     runLocally: executor.execute
   })
   const handler = createRouteHandler({
@@ -116,12 +122,20 @@
     budget,
     forwarder,
     clock,
-    onEnded: (ending) => logEnding(log, ending)
+    onEnded: (ending) => {
+      logEnding(log, ending)
+      const { service, status, refusal, durationMs } = ending
+      stats.requestEnded({ entry: true, service, status, durationMs, regionBytes: 0, ...(refusal === undefined ? {} : { refusal }) })
+    }
   })
   const limits = () => ({ idleTimeoutMs: poller.current()?.limits.idleTimeoutMs ?? DEFAULT_IDLE_TIMEOUT_MS })
   const callerAddress = { host: vm.address, port: cfg.callerPort }
   const server = await startCallerServer(callerAddress, handler.handle, handler.handle, availability.stopping, limits)
-  const levelTimer = setInterval(gate.tick, LEVEL_INTERVAL_MS)
+  let ticks = 0
+  const levelTimer = setInterval(() => {
+    gate.tick()
+    if (ticks++ % GAUGE_TICKS === 0) reportGauges(metrics, gate.load())
+  }, LEVEL_INTERVAL_MS)
   members.start()
   watch.start()
   log.info({ event: 'start', vmId: vm.id, callerPort: cfg.callerPort, peerPort: cfg.peerPort }, 'node started')
