--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -12,6 +12,7 @@
   target: 'node20',
   format: 'cjs',
   minifySyntax: true,
+  minifyWhitespace: true,
   logLevel: 'warning',
   alias: {
     '@orioleslip/core': source('core/src/index.ts'),
