--- a/packages/node/src/calls/executor.test.ts
+++ b/packages/node/src/calls/executor.test.ts
@@ -27,12 +27,16 @@
 }
 
 /** Runs one call at an executor whose target gives `reply`; returns what was told of it and what the caller got. */
-async function runCall ({ closed, slots = 1, reply }: { closed?: Refusal, slots?: number, reply?: TargetReply }) {
+async function runCall ({ closed, slots = 1, reply, heldMs }: { closed?: Refusal, slots?: number, reply?: TargetReply, heldMs?: number }) {
   const clock = createFakeClock()
   const gate = createTargetGate({ clock, limiter: createAnnouncedLimit() })
   gate.targetStarted(slots)
   const announcement = { service: 'shop', instance: 'i-1' }
-  const client = { run: () => Promise.resolve(reply), close: () => Promise.resolve() }
+  // With `heldMs` the target gives nothing until the call is cancelled.
+  const run = ({ signal }: { signal: AbortSignal }) => heldMs === undefined
+    ? Promise.resolve(reply)
+    : new Promise((resolve) => { signal.addEventListener('abort', () => resolve({ kind: 'failed', sent: true, message: 'the call was cancelled' })) })
+  const client = { run, close: () => Promise.resolve() }
   const target = { current: () => ({ announcement, client }) } as unknown as LocalTarget
   const told: Array<{ requestId: string, refusal: Refusal, report: CallReport }> = []
   const sent: StreamMessage[] = []
@@ -45,7 +49,13 @@
     closedFor: () => closed,
     onRefused: (call, refusal, report) => told.push({ requestId: call.head.root.requestId, refusal, report })
   })
-  await new Promise<void>((resolve) => executor.execute(createIncomingCall(createHead(), (msg) => sent.push(msg), resolve)))
+  const ended = new Promise<void>((resolve) => {
+    const call = createIncomingCall(createHead(), (msg) => sent.push(msg), resolve)
+    executor.execute(call)
+    if (heldMs !== undefined) clock.advance(heldMs).then(() => call.lost('the caller has gone'), () => {})
+  })
+  await ended
+  await clock.advance(0)
   return { told, sent }
 }
 
@@ -75,3 +85,11 @@
   const { told } = await runCall({ reply: { kind: 'head', status: 200, headers: [], unframed: false, body, abort: () => {} } })
   t.like(told[0]!.refusal, unknownOutcome('bad-answer', 'the target\'s answer broke off: cut'))
 })
+
+// Guards against a log that blames a lost target for a call that its caller gave up, and hides how long the target had it.
+test('a call given up by its caller is told of with the time that the target held it', async (t) => {
+  const { told } = await runCall({ heldMs: 397 })
+  t.is(told[0]!.refusal.code, 'deadline-exceeded')
+  t.is(told[0]!.refusal.outcome, 'unknown')
+  t.regex(told[0]!.refusal.detail, /no answer after 397 ms/)
+})
--- a/packages/node/src/calls/executor.ts
+++ b/packages/node/src/calls/executor.ts
@@ -134,8 +134,10 @@
   const finishFailed = ({ call, deadline, self, permit, once, latencyMs, reply }: FailedCall) => {
     permit.release({ kind: deadline.signal.aborted ? 'cancelled' : 'failed', latencyMs: latencyMs() })
     if (!reply.sent) releaseClaim(once)
-    const code = deadline.expired() ? 'deadline-exceeded' : 'target-lost'
-    const refusal = reply.sent ? unknownOutcome(code, reply.message) : notRun(code, reply.message, 1)
+    const isGivenUp = deadline.signal.aborted
+    const code = isGivenUp ? 'deadline-exceeded' : 'target-lost'
+    const detail = isGivenUp ? `the target had given no answer after ${Math.round(latencyMs())} ms, when the call was given up` : reply.message
+    const refusal = reply.sent ? unknownOutcome(code, detail) : notRun(code, detail, 1)
     refuseCall(call, refusal, { ...reportOf(self), reachedTarget: reply.sent })
   }
 
