--- a/packages/node/src/admission/target-gate.ts
+++ b/packages/node/src/admission/target-gate.ts
@@ -11,9 +11,6 @@
 const QUEUE_MS = 25
 const MIN_QUEUE = 8
 const MEAN_WEIGHT = 0.05
-// With slots free, a call is tried with this share of its operation's median time left: it may be one of the quick ones, and takes
-// nobody's place.
-const TRIED_SHARE = 0.5
 
 const refused = (refusal: Refusal): GateResult => ({ kind: 'refused', refusal })
 
@@ -102,11 +99,10 @@
     enter: async (req) => {
       if (limiter.limit() === 0) return refused(notRun('no-target', 'no target has announced itself beside this node', 1))
       if (req.signal.aborted) return refused(notRun('deadline-exceeded', 'the caller went away before the call was queued'))
-      const isRoom = queue.size() === 0 && inFlight < limiter.limit()
       // A deadline that is too short for the operation itself is no sign of overload.
-      if (tooLate(req, isRoom ? req.remainingMs / TRIED_SHARE : req.remainingMs)) return tooLateRefusal(req, req.remainingMs)
+      if (tooLate(req, req.remainingMs)) return tooLateRefusal(req, req.remainingMs)
       level.arrived(req.priority)
-      if (isRoom) return { kind: 'permit', permit: issue(req.opKey) }
+      if (queue.size() === 0 && inFlight < limiter.limit()) return { kind: 'permit', permit: issue(req.opKey) }
       return wait(req)
     },
     load: () => ({ level: level.level(), inFlight, queued: queue.size(), limit: limiter.limit() }),
