Let lists and routes share a type, a body reader and a peer time limit

Cause: the change wrote three things again that stood elsewhere: the type of a change of a document (lists, routes and their poller), the loop that reads a whole body into memory (takeBody and whole-body.ts), and the time limit for messages between control VMs with its reason.

Change: DocumentChange in core, takeWholeBody beside takeBody, which calls it, and PEER_TIMEOUT_MS in api/transport.ts.

--- a/packages/control/src/api/transport.ts
+++ b/packages/control/src/api/transport.ts
@@ -1,6 +1,12 @@
 import type { ReplicationReply, ReplicationTransport } from '../replication/messages.js'
 import type { ControlClient } from './client.js'
 
+/**
+ * Longest wait for the reply of another control VM, in ms: longer than the log's wait for a forwarded proposal (3.25 s). The log applies
+ * its own limits to other messages.
+ */
+export const PEER_TIMEOUT_MS = 5000
+
 /** Carries replication messages over the control API. */
 export function createApiTransport (peers: ReadonlyMap<string, ControlClient>): ReplicationTransport {
   return {
--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -14,7 +14,7 @@
 import { startApiServer } from './api/server.js'
 import { createSharedConfirm } from './api/shared-confirm.js'
 import { createStatusService, type VmReport } from './api/status-service.js'
-import { createApiTransport } from './api/transport.js'
+import { createApiTransport, PEER_TIMEOUT_MS } from './api/transport.js'
 import { openAuditArchive } from './audit/archive.js'
 import { runGapFiller } from './audit/gap-filler.js'
 import { createAuditTrail } from './audit/trail.js'
@@ -31,8 +31,6 @@
 /** The process can't start; `message` names the cause and the remedy. */
 export type ControlStartError = { kind: 'controlStartFailed', message: string }
 
-// Longer than the log's wait for a forwarded proposal (3.25 s); the log applies its own limits to other messages.
-const PEER_TIMEOUT_MS = 5000
 // Keeps `status` quick while another control VM is frozen.
 const REPORT_TIMEOUT_MS = 1500
 
--- a/packages/control/src/lists/state-machine.ts
+++ b/packages/control/src/lists/state-machine.ts
@@ -1,15 +1,12 @@
 import {
-  diffLists, EMPTY_DOCUMENT, listsDigest, type ListsDelta, type ListsDocument, type StateMachine
+  diffLists, EMPTY_DOCUMENT, listsDigest, type DocumentChange, type ListsDelta, type ListsDocument, type StateMachine
 } from '@orioleslip/core'
 import type { AuditAnchor, AuditEntry } from '../audit/chain.js'
 import { createAuditWindow } from '../audit/window.js'
 import { editDigest, type EditCommand, type EditReply, type EditResult, type ListsCommand, type ListsReply, type ListsState } from './commands.js'
 
 /** What a node at some revision needs to reach the one in effect. */
-export type ListsChange =
-  | { kind: 'unchanged', revision: number }
-  | { kind: 'deltas', deltas: ListsDelta[] }
-  | { kind: 'full', document: ListsDocument }
+export type ListsChange = DocumentChange<ListsDocument, ListsDelta>
 
 export type ListsMachine = StateMachine<ListsCommand, ListsReply, ListsState> & {
   revision: () => number
--- a/packages/control/src/routes/peer-clients.ts
+++ b/packages/control/src/routes/peer-clients.ts
@@ -1,12 +1,10 @@
 import type { Clock } from '@orioleslip/core'
 import { createRoutesClient, type RoutesClient } from '../api/client.js'
+import { PEER_TIMEOUT_MS } from '../api/transport.js'
 import type { ReplicationReply, ReplicationTransport } from '../replication/messages.js'
 
 export type PeerClients = { transport: ReplicationTransport, close: () => Promise<void> }
 
-// Longer than the log's wait for a forwarded proposal (3.25 s); the log applies its own limits to other messages.
-const PEER_TIMEOUT_MS = 5000
-
 /** Creates the transport between control VMs that name themselves by the authority of their API, so that every name is an address. */
 export function createPeerClients ({ fleetKey, clock }: { fleetKey: string, clock: Clock }): PeerClients {
   const clients = new Map<string, RoutesClient>()
--- a/packages/control/src/routes/state-machine.ts
+++ b/packages/control/src/routes/state-machine.ts
@@ -1,11 +1,8 @@
-import { diffRoutes, type RouteList, type RoutesDelta, type RoutesDocument, type StateMachine } from '@orioleslip/core'
+import { diffRoutes, type DocumentChange, type RouteList, type RoutesDelta, type RoutesDocument, type StateMachine } from '@orioleslip/core'
 import { replacementDigest, type AcceptedReplacement, type RoutesCommand, type RoutesReply, type RoutesState } from './commands.js'
 
 /** What a node at some version needs to reach the one in effect. */
-export type RoutesChange =
-  | { kind: 'unchanged', revision: number }
-  | { kind: 'deltas', deltas: RoutesDelta[] }
-  | { kind: 'full', document: RoutesDocument }
+export type RoutesChange = DocumentChange<RoutesDocument, RoutesDelta>
 
 export type RoutesMachine = StateMachine<RoutesCommand, RoutesReply, RoutesState> & {
   /** The version in effect; 0 before the first replacement. */
--- a/packages/node/src/calls/entry-request.ts
+++ b/packages/node/src/calls/entry-request.ts
@@ -84,14 +84,27 @@
   if (lengthBytes === undefined || lengthBytes > bufferLimitBytes) {
     return { kind: 'stream', read: createReader(req), ...(lengthBytes === undefined ? {} : { lengthBytes }) }
   }
+  return await takeWholeBody(req, lengthBytes, bufferLimitBytes)
+}
+
+/** Reads a body into memory, so that the call can be sent again; what exceeds the limit is passed on as a stream. */
+export async function takeWholeBody (req: IncomingMessage, lengthBytes: number | undefined, limitBytes: number): Promise<RequestBody> {
+  if (lengthBytes === 0) return { kind: 'none' }
   const read = createReader(req)
   const chunks: Uint8Array[] = []
-  for (let chunk = await read(); chunk !== undefined; chunk = await read()) chunks.push(chunk)
-  return { kind: 'buffered', bytes: chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks) }
+  let bytes = 0
+  while (bytes <= limitBytes) {
+    const chunk = await read()
+    if (chunk === undefined) return { kind: 'buffered', bytes: chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks) }
+    chunks.push(chunk)
+    bytes += chunk.length
+  }
+  const readRest = async () => chunks.shift() ?? await read()
+  return { kind: 'stream', read: readRest, ...(lengthBytes === undefined ? {} : { lengthBytes }) }
 }
 
 /** Reads the body of a request chunk by chunk; rejects when the caller cuts it. */
-export function createReader (req: IncomingMessage): () => Promise<Uint8Array | undefined> {
+function createReader (req: IncomingMessage): () => Promise<Uint8Array | undefined> {
   const iterator = req[Symbol.asyncIterator]() as AsyncIterator<Uint8Array>
   return async () => {
     const next = await iterator.next()
--- a/packages/node/src/documents/document-poller.ts
+++ b/packages/node/src/documents/document-poller.ts
@@ -1,4 +1,4 @@
-import type { Clock, Random } from '@orioleslip/core'
+import type { Clock, DocumentChange, Random } from '@orioleslip/core'
 import type { Logger } from 'pino'
 
 /** Time for which a control VM is asked to hold a poll, in ms. */
@@ -27,12 +27,6 @@
   /** The change does not fit to the document at hand; the whole one is needed. */
   | { kind: 'unfit' }
 
-/** What a control VM answers to a poll. */
-export type DocumentChange<Doc, Delta> =
-  | { kind: 'unchanged', revision: number }
-  | { kind: 'full', document: Doc }
-  | { kind: 'deltas', deltas: Delta[] }
-
 /** Creates the application of changes to a document; `applyDelta` gives undefined where a delta does not fit. */
 export function createApplyChange<Doc, Delta> (applyDelta: (document: Doc, delta: Delta) => Doc | undefined) {
   return (document: Doc | undefined, change: DocumentChange<Doc, Delta>): Applied<Doc> => {
--- a/packages/node/src/routes/route-handler.ts
+++ b/packages/node/src/routes/route-handler.ts
@@ -6,7 +6,7 @@
 import { err, ok, type Result } from 'neverthrow'
 import { writeAnswer, writeRefusal } from '../calls/answer-writer.js'
 import { startDeadline, type CallDeadline } from '../calls/call-deadline.js'
-import { bodyLength } from '../calls/entry-request.js'
+import { bodyLength, takeWholeBody } from '../calls/entry-request.js'
 import type { AttemptRecord, Forwarder, ForwardResult } from '../calls/forwarder.js'
 import { countOpenRequests, type CountedHandler } from '../calls/open-requests.js'
 import { withoutSetHeaders, type CallHeaderNames } from './call-headers.js'
@@ -14,7 +14,6 @@
 import type { DestinationChooser } from './destinations.js'
 import type { RepeatBudget } from './repeat-budget.js'
 import { priorityOfRank } from './route-priority.js'
-import { takeWholeBody } from './whole-body.js'
 
 /** How a routed request ended; one such record is logged for each request. */
 export type RouteEnding = {
