--- a/packages/daemon/src/prometheus.ts
+++ b/packages/daemon/src/prometheus.ts
@@ -5,7 +5,7 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 
 /** Upper bounds of the latency buckets, in ms; the deadlines of calls lie between 100 ms and some seconds. */
-export const BUCKETS_MS = [1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000]
+const BUCKETS_MS = [1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000]
 /** Sets of labels that one metric may have; further ones count under `other`, so that a scrape stays small. */
 const MAX_LABEL_SETS = 200
 const OTHER = 'other'
--- a/packages/daemon/src/run.ts
+++ b/packages/daemon/src/run.ts
@@ -2,9 +2,8 @@
 import { EXIT } from './exit-codes.js'
 import { loadSettings } from './load-settings.js'
 import { startMetrics } from './metrics.js'
+import { prepareProcess } from './prepare-process.js'
 import { startRole } from './roles.js'
-import { createProcessLog, exitAfterFlush } from './process-log.js'
-import { handleStopSignals } from './stop-signals.js'
 
 const HELP = `
 Examples:
@@ -43,15 +42,7 @@
     process.stdout.write(`${args.config}: the settings are valid for role "${settings.role}"\n`)
     return EXIT.ok
   }
-  const log = createProcessLog(settings)
-  const exit = (code: number) => exitAfterFlush(log, code)
-  const fail = (err: unknown) => {
-    log.fatal({ event: 'failure', err }, 'Unexpected failure; the process stops')
-    exit(EXIT.interrupted)
-  }
-  process.on('uncaughtException', fail)
-  process.on('unhandledRejection', fail)
-  const signals = handleStopSignals({ log, exit })
+  const { log, exit, signals } = prepareProcess(settings)
   const metrics = await startMetrics(settings, log)
   if (metrics.isErr()) {
     log.fatal({ event: 'failure' }, metrics.error)
