Release the permit of a call that is cancelled while its body arrives

A body longer than its declared length was sent to the target as no body. Change: receiving the body for the target has a module of its own that returns a refusal; a call that is not sent ends its permit as notSent, which no longer pulls the measured service time towards 0.

--- a/packages/core/src/interfaces/admission.ts
+++ b/packages/core/src/interfaces/admission.ts
@@ -12,6 +12,8 @@
 
 /** How a call that held a permit ended. */
 export type CallEnd =
+  /** The call was not sent to the target, for example because its caller left while the body arrived. */
+  | { kind: 'notSent' }
   /** `downstreamMs` is the part of the latency during which the target waited for its own calls to other services. */
   | { kind: 'answered', latencyMs: number, downstreamMs?: number }
   /** The response of the target says that it sheds load. */
--- a/packages/node/src/calls/executor.test.ts
+++ b/packages/node/src/calls/executor.test.ts
@@ -5,11 +5,11 @@
 import type { CallHead, CallReport, StreamMessage } from '../links/messages.js'
 import { createAnnouncedLimit } from '../limits/announced-limit.js'
 import type { LocalTarget } from '../target/local-target.js'
-import type { TargetReply } from '../target/target-client.js'
+import type { TargetClient, TargetReply } from '../target/target-client.js'
 import { createExecutor } from './executor.js'
 import { createInboundCalls } from './inbound-calls.js'
 
-function createHead (): CallHead {
+function createHead (over: Partial<CallHead> = {}): CallHead {
   return {
     root: {
       requestId: 'req-1', traceId: 't', customer: '', entryOpKey: 'op', priority: 9, ledger: { host: '127.0.0.1', port: 1 }, region: 'r1'
@@ -22,26 +22,20 @@
     remainingMs: 1000,
     traceFlags: '00',
     deferBody: false,
-    bodyBytes: 0
+    bodyBytes: 0,
+    ...over
   }
 }
 
-/** Runs one call at an executor whose target returns `reply`; returns the reported refusals and the messages sent to the caller. */
-async function runCall (
-  { callRefusal, slots = 1, reply, heldMs }: { callRefusal?: Refusal, slots?: number, reply?: TargetReply, heldMs?: number }
-) {
+/** Creates an executor with a fake clock and a target whose client is `run`. */
+function createFixture ({ run, slots = 1, callRefusal }: { run: TargetClient['run'], slots?: number, callRefusal?: Refusal | undefined }) {
   const clock = createFakeClock()
   const gate = createTargetGate({ clock, limiter: createAnnouncedLimit() })
   gate.targetStarted(slots)
   const announcement = { service: 'shop', instance: 'i-1' }
-  // With `heldMs` the target does not respond until the call is cancelled.
-  const run = ({ signal }: { signal: AbortSignal }) => heldMs === undefined
-    ? Promise.resolve(reply)
-    : new Promise((resolve) => { signal.addEventListener('abort', () => resolve({ kind: 'failed', sent: true, message: 'the call was cancelled' })) })
   const client = { run, close: () => Promise.resolve() }
   const target = { current: () => ({ announcement, client }) } as unknown as LocalTarget
   const refused: Array<{ requestId: string, refusal: Refusal, report: CallReport }> = []
-  const sent: StreamMessage[] = []
   const executor = createExecutor({
     target,
     gate,
@@ -51,6 +45,20 @@
     callRefusal: () => callRefusal,
     onRefused: (call, refusal, report) => refused.push({ requestId: call.head.root.requestId, refusal, report })
   })
+  return { clock, gate, refused, executor }
+}
+
+/** Runs one call at an executor whose target returns `reply`; returns the reported refusals and the messages sent to the caller. */
+async function runCall (
+  { callRefusal, slots = 1, reply, heldMs }: { callRefusal?: Refusal, slots?: number, reply?: TargetReply, heldMs?: number }
+) {
+  // With `heldMs` the target does not respond until the call is cancelled.
+  const run: TargetClient['run'] = ({ signal }) => new Promise((resolve) => {
+    if (heldMs === undefined) resolve(reply!)
+    else signal.addEventListener('abort', () => resolve({ kind: 'failed', sent: true, message: 'the call was cancelled' }))
+  })
+  const { clock, refused, executor } = createFixture({ run, slots, callRefusal })
+  const sent: StreamMessage[] = []
   const ended = new Promise<void>((resolve) => {
     const call = createIncomingCall(createHead(), (msg) => sent.push(msg), resolve)
     executor.execute(call)
@@ -96,3 +104,33 @@
   t.is(refused[0]!.refusal.outcome, 'unknown')
   t.regex(refused[0]!.refusal.detail, /no response after 397 ms/)
 })
+
+// Guards against a slot that stays taken after a caller has left in the middle of a body: the target then gets ever fewer calls.
+test('a call cancelled while its body arrives releases its permit and is reported as not run', async (t) => {
+  const { clock, gate, refused, executor } = createFixture({ run: () => Promise.reject(new Error('the call must not be sent')) })
+  const call = createIncomingCall(createHead({ method: 'PUT', deferBody: true, bodyBytes: 10 }), () => {}, () => {})
+  executor.execute(call)
+  await clock.advance(0)
+  t.is(gate.load().inFlight, 1)
+  call.receive({ type: 'data', chunk: new Uint8Array(4) })
+  call.receive({ type: 'cancel' })
+  await clock.advance(0)
+  t.is(gate.load().inFlight, 0)
+  t.is(refused[0]!.refusal.outcome, 'not-run')
+  t.is(refused[0]!.report.reachedTarget, undefined)
+})
+
+// Guards against a call whose body does not have its declared length being sent to the target without a body.
+test('a call whose body differs from its declared length is refused as not run', async (t) => {
+  for (const receivedBytes of [9, 11, 100_000]) {
+    const { clock, gate, refused, executor } = createFixture({ run: () => Promise.reject(new Error('the call must not be sent')) })
+    const call = createIncomingCall(createHead({ method: 'PUT', bodyBytes: 10 }), () => {}, () => {})
+    executor.execute(call)
+    call.receive({ type: 'data', chunk: new Uint8Array(receivedBytes) })
+    call.receive({ type: 'end' })
+    await clock.advance(0)
+    t.is(refused[0]?.refusal.code, 'bad-request', `${receivedBytes} bytes`)
+    t.is(refused[0]?.refusal.outcome, 'not-run')
+    t.is(gate.load().inFlight, 0)
+  }
+})
--- a/packages/node/src/calls/executor.ts
+++ b/packages/node/src/calls/executor.ts
@@ -2,17 +2,17 @@
   formatTraceParent, HEADERS, notRun, unknownOutcome,
   type CallEnd, type Clock, type Permit, type Refusal, type StoredResponse, type TargetGate
 } from '@orioleslip/core'
-import { readAll, type ByteQueue } from '../links/byte-queue.js'
+import { readAll } from '../links/byte-queue.js'
 import type { IncomingCall } from '../links/incoming-call.js'
-import type { CallReport, ResponseHead } from '../links/messages.js'
+import type { CallReport } from '../links/messages.js'
 import type { Announcement, LocalTarget } from '../target/local-target.js'
-import type { TargetBody, TargetReply } from '../target/target-client.js'
+import type { TargetReply } from '../target/target-client.js'
 import { startDeadline, type CallDeadline } from './call-deadline.js'
 import type { InboundCall, InboundCalls } from './inbound-calls.js'
-import { BUFFERED_BODY_LIMIT_BYTES } from './request-body.js'
+import { forwardResponse, type ResponseEnd } from './forward-response.js'
+import { receiveTargetBody } from './target-body.js'
 import type { GuardedRun, IdempotencyGuard } from '../idempotency/idempotency-guard.js'
 import { HASHED_BODY_LIMIT_BYTES, requestHashOf } from '../idempotency/request-hash.js'
-import { createResponseRecorder, STORED_RESPONSE_BODY_BYTES } from '../idempotency/response-recorder.js'
 
 export type ExecutorOptions = {
   target: LocalTarget
@@ -104,20 +104,24 @@
       return refuseCall(call, entered.refusal, reportOf(self))
     }
     const { permit } = entered
-    const startedMs = clock.nowMs()
-    const latencyMs = () => clock.nowMs() - startedMs
+    const refuseUnsent = (refusal: Refusal) => {
+      permit.release({ kind: 'notSent' })
+      releaseClaim(guardedRun)
+      refuseCall(call, refusal, reportOf(self))
+    }
+    const body = await receiveTargetBody(call, bytes)
+    if (body.isErr()) return refuseUnsent(body.error)
     const current = target.current()
     if (current === undefined || deadline.signal.aborted) {
-      permit.release({ kind: 'cancelled', latencyMs: 0 })
-      releaseClaim(guardedRun)
-      return refuseCall(call, notRun('deadline-exceeded', 'the call was cancelled or its deadline passed before it was sent to the target'), reportOf(self))
+      return refuseUnsent(notRun('deadline-exceeded', 'the call was cancelled or its deadline passed before it was sent to the target'))
     }
-    const body = await targetBody(call, bytes)
+    const startedMs = clock.nowMs()
+    const latencyMs = () => clock.nowMs() - startedMs
     const reply = await current.client.run({
       method: head.method,
       path: head.path,
       headers: targetHeaders(call, deadline, self, current.announcement),
-      body,
+      body: body.value,
       signal: deadline.signal
     })
     if (reply.kind === 'failed') return finishFailed({ call, deadline, self, permit, guardedRun, latencyMs, reply })
@@ -128,7 +132,7 @@
       if (rejection.outcome === 'not-run') releaseClaim(guardedRun)
       return refuseCall(call, rejection, { ...reportOf(self), reachedTarget: true })
     }
-    const end = await forwardResponse({ call, self, guardedRun, reply, report: () => reportOf(self), refuse: refuseCall })
+    const end = await forwardResponse({ call, guardedRun, reply, report: () => reportOf(self), refuse: refuseCall })
     permit.release(callEndOf({ end, status: reply.status, latencyMs: latencyMs(), self }, deadline))
   }
 
@@ -203,16 +207,6 @@
   call.end(report)
 }
 
-async function targetBody (call: IncomingCall, bytes: Uint8Array | undefined): Promise<TargetBody> {
-  if (bytes !== undefined) return bytes.length === 0 ? { kind: 'none' } : { kind: 'buffered', bytes }
-  const { bodyBytes } = call.head
-  if (bodyBytes === 0) return { kind: 'none' }
-  call.accept()
-  if (bodyBytes === undefined || bodyBytes > BUFFERED_BODY_LIMIT_BYTES) return { kind: 'stream', queue: call.body }
-  const whole = await readAll(call.body, BUFFERED_BODY_LIMIT_BYTES)
-  return whole === undefined ? { kind: 'none' } : { kind: 'buffered', bytes: whole }
-}
-
 function defaultTargetHeaders (call: IncomingCall, deadline: CallDeadline, self: InboundCall): string[] {
   const headers: string[] = []
   const own = new Set<string>([HEADERS.traceparent, HEADERS.timeoutMs, HEADERS.requestId])
@@ -224,75 +218,6 @@
   return headers
 }
 
-type ResponseEnd = 'complete' | 'cut'
-
-type ResponseTransfer = {
-  call: IncomingCall
-  self: InboundCall
-  guardedRun: GuardedRun | undefined
-  reply: Extract<TargetReply, { kind: 'head' }>
-  report: () => CallReport
-  refuse: (call: IncomingCall, refusal: Refusal, report: CallReport) => void
-}
-
-async function forwardResponse (transfer: ResponseTransfer): Promise<ResponseEnd> {
-  const { call, guardedRun, reply, report, refuse } = transfer
-  try {
-    if (guardedRun !== undefined) {
-      await recordResponse(transfer, guardedRun)
-    } else {
-      call.respond({ status: reply.status, headers: reply.headers, ...(reply.unframed ? { unframed: true } : {}) })
-      await pipeBody(call, reply.body, () => {})
-    }
-    call.end(report())
-    return 'complete'
-  } catch (err) {
-    // The caller must not take the part that it has received for a complete response.
-    refuse(call, unknownOutcome('bad-answer', `the target's response was cut off: ${err instanceof Error ? err.message : String(err)}`), report())
-    return 'cut'
-  }
-}
-
-async function pipeBody (call: IncomingCall, body: Pick<ByteQueue, 'read'>, onChunk: (chunk: Uint8Array) => void): Promise<void> {
-  for (;;) {
-    const chunk = await body.read()
-    if (chunk === undefined) return
-    onChunk(chunk)
-    const wait = call.write(chunk)
-    if (wait !== undefined) await wait
-  }
-}
-
-/** Holds a small response back until its run is recorded; a larger one is forwarded while it arrives and recorded without its body. */
-async function recordResponse ({ call, reply }: ResponseTransfer, guardedRun: GuardedRun): Promise<void> {
-  const head: ResponseHead = { status: reply.status, headers: reply.headers }
-  const recorder = createResponseRecorder(reply.status, reply.headers)
-  const buffered: Uint8Array[] = []
-  let bufferedBytes = 0
-  let streaming = false
-  for (;;) {
-    const chunk = await reply.body.read()
-    if (chunk === undefined) break
-    recorder.add(chunk)
-    if (streaming) {
-      await call.write(chunk)
-      continue
-    }
-    buffered.push(chunk)
-    bufferedBytes += chunk.length
-    if (bufferedBytes <= STORED_RESPONSE_BODY_BYTES) continue
-    streaming = true
-    call.respond(head)
-    for (const part of buffered) await call.write(part)
-  }
-  // Records the run before the response ends, so that a caller that received the complete response gets the same one for a resend.
-  // While the key register is unreachable this resolves after 1 s, and the run is recorded in the background.
-  await guardedRun.finished(recorder.done())
-  if (streaming) return
-  call.respond(head)
-  for (const part of buffered) await call.write(part)
-}
-
 type TargetEnd = { end: ResponseEnd, status: number, latencyMs: number, self: InboundCall }
 
 function callEndOf ({ end, status, latencyMs, self }: TargetEnd, deadline: CallDeadline): CallEnd {
--- a/packages/node/src/limits/concurrency-limit.ts
+++ b/packages/node/src/limits/concurrency-limit.ts
@@ -192,6 +192,7 @@
           if (dispatch.phase !== undefined && dispatch.phase === phase) addSample(phase, dispatch.opKey, ownMs)
           break
         }
+        case 'notSent':
         case 'failed':
         case 'cancelled':
       }
