Wake a node only for connections and gates that have work

Cause: each connection between nodes had a timer of its own, so that a node with 50 links was woken 50 times a second; the gate was ticked ten times and the watch of the target ran five times a second, also with nothing to do. Change: one timer checks all connections that have open calls; the gate is ticked only while it is under pressure; the watch sleeps until the target could count as gone.

--- a/packages/core/src/interfaces/admission.ts
+++ b/packages/core/src/interfaces/admission.ts
@@ -55,8 +55,12 @@
   load: () => LoadReport
   /** Sets the announced capacity and restarts the ramp-up of the limit when the target has (re)started. */
   targetStarted: (capacity: number) => void
-  /** Recomputes the admission level; the owner calls it every `LEVEL_INTERVAL_MS`. */
+  /** Recomputes the admission level; the owner calls it every `LEVEL_INTERVAL_MS` while the gate is under pressure. */
   tick: () => void
+  /** True while calls are queued, have been dropped since the last tick, or are refused at the entry nodes. */
+  underPressure: () => boolean
+  /** Sets the listener that is called whenever the gate may have come under pressure. */
+  onPressure: (listener: () => void) => void
 }
 
 /** Period of `TargetGate.tick`. */
--- a/packages/node/src/admission/pass-through.ts
+++ b/packages/node/src/admission/pass-through.ts
@@ -33,6 +33,8 @@
     },
     load: (): LoadReport => ({ level: 0, inFlight, queued: 0, limit: capacity }),
     targetStarted: (announced) => { capacity = announced },
-    tick: () => {}
+    tick: () => {},
+    underPressure: () => false,
+    onPressure: () => {}
   }
 }
--- a/packages/node/src/admission/target-gate.test.ts
+++ b/packages/node/src/admission/target-gate.test.ts
@@ -142,3 +142,32 @@
   }
   t.is(gate.load().level, 0)
 })
+
+// Guards against a level that stays high, or a late call that stays queued, because the owner ticks the gate only while it is under
+// pressure; and against a process that is woken ten times a second with nothing queued.
+test('a gate is under pressure from the first queued call until its queue is empty and its level is 0', async (t) => {
+  const { clock, gate, enter } = await createGate()
+  let pressures = 0
+  gate.onPressure(() => { pressures++ })
+  const running = enter()
+  await clock.advance(0)
+  t.false(gate.underPressure())
+  t.is(pressures, 0)
+  const late = enter({ remainingMs: 150 })
+  await clock.advance(0)
+  t.is(pressures, 1)
+  t.true(gate.underPressure())
+  for (let i = 0; i < 2; i++) {
+    await clock.advance(100)
+    gate.tick()
+  }
+  await clock.advance(0)
+  t.is(late.result?.kind, 'refused')
+  freePermit(running.result)
+  for (let i = 0; i < 100 && gate.underPressure(); i++) {
+    await clock.advance(100)
+    gate.tick()
+  }
+  t.false(gate.underPressure())
+  t.is(gate.load().level, 0)
+})
--- a/packages/node/src/admission/target-gate.ts
+++ b/packages/node/src/admission/target-gate.ts
@@ -14,6 +14,9 @@
 // Weight of a new sample in the moving average of the service time.
 const SERVICE_TIME_WEIGHT = 0.05
 
+// Longest measurement window without pressure. It is longer than the interval of the ticks, so that these end the windows under pressure.
+const IDLE_WINDOW_MS = 2 * LEVEL_INTERVAL_MS
+
 const refused = (refusal: Refusal): GateResult => ({ kind: 'refused', refusal })
 
 /** Creates the gate in front of the local target: a priority queue, a concurrency limit and the admission level computed from both. */
@@ -27,6 +30,9 @@
   let dropped = 0
   let serviceMs = 0
   let lastTickMs = clock.nowMs()
+  let onPressure = () => {}
+
+  const underPressure = (): boolean => queue.size() > 0 || dropped > 0 || level.level() > 0
 
   // An upload whose body is being transferred stays queued until its deadline has passed.
   const missesDeadline = (req: GateRequest, remainingMs: number): boolean =>
@@ -94,15 +100,40 @@
     }
     const node = queue.push(req.priority, waiter)
     req.signal.addEventListener('abort', onAbort, { once: true })
+    onPressure()
     if (queue.size() > Math.max(MIN_QUEUE, limiter.limit() * Math.max(1, QUEUE_MS / Math.max(1, serviceMs)))) dropLowest()
   })
 
+  const tick = (): void => {
+    queue.forEach((node) => {
+      const remainingMs = node.value.dueMs - clock.nowMs()
+      if (!missesDeadline(node.value.req, remainingMs)) return
+      queue.remove(node)
+      dropped++
+      node.value.settle(deadlineRefusal(node.value.req, remainingMs))
+    })
+    const nowMs = clock.nowMs()
+    level.tick({
+      dispatched,
+      dropped,
+      queued: queue.size(),
+      utilization: Math.min(1, inFlight / Math.max(1, limiter.limit())),
+      serviceMs
+    }, nowMs > lastTickMs ? nowMs - lastTickMs : LEVEL_INTERVAL_MS)
+    lastTickMs = nowMs
+    dispatched = 0
+    dropped = 0
+    dispatchQueued()
+  }
+
   return {
     enter: async (req) => {
       if (limiter.limit() === 0) return refused(notRun('no-target', 'no target has announced itself beside this node', 1))
       if (req.signal.aborted) return refused(notRun('deadline-exceeded', 'the caller disconnected before the call was queued'))
       // A deadline shorter than the operation's latency is not a sign of overload, so it does not count as dropped.
       if (missesDeadline(req, req.remainingMs)) return deadlineRefusal(req, req.remainingMs)
+      // Without pressure there is no timer, so the measurement window ends with the first call after it.
+      if (!underPressure() && clock.nowMs() - lastTickMs > IDLE_WINDOW_MS) tick()
       level.arrived(req.priority)
       if (queue.size() === 0 && inFlight < limiter.limit()) return { kind: 'permit', permit: issuePermit(req.opKey) }
       return enqueue(req)
@@ -112,27 +143,9 @@
       limiter.targetStarted(capacity)
       dispatchQueued()
     },
-    tick: () => {
-      queue.forEach((node) => {
-        const remainingMs = node.value.dueMs - clock.nowMs()
-        if (!missesDeadline(node.value.req, remainingMs)) return
-        queue.remove(node)
-        dropped++
-        node.value.settle(deadlineRefusal(node.value.req, remainingMs))
-      })
-      const nowMs = clock.nowMs()
-      level.tick({
-        dispatched,
-        dropped,
-        queued: queue.size(),
-        utilization: Math.min(1, inFlight / Math.max(1, limiter.limit())),
-        serviceMs
-      }, nowMs > lastTickMs ? nowMs - lastTickMs : LEVEL_INTERVAL_MS)
-      lastTickMs = nowMs
-      dispatched = 0
-      dropped = 0
-      dispatchQueued()
-    }
+    tick,
+    underPressure,
+    onPressure: (listener) => { onPressure = listener }
   }
 }
 
--- a/packages/node/src/calls/call-path.test.ts
+++ b/packages/node/src/calls/call-path.test.ts
@@ -242,7 +242,14 @@
 // Guards against overloading the key register with claims for orders that the target's admission control refuses afterwards.
 test('an order below the admission level is refused before its key is claimed', async (t) => {
   const load = () => ({ level: 192, inFlight: 10, queued: 9, limit: 10 })
-  const gate: TargetGate = { load, tick: () => {}, targetStarted: () => {}, enter: async () => { throw new Error('the gate was entered') } }
+  const gate: TargetGate = {
+    load,
+    tick: () => {},
+    underPressure: () => true,
+    onPressure: () => {},
+    targetStarted: () => {},
+    enter: async () => { throw new Error('the gate was entered') }
+  }
   const pair = await httpTarget(t, (_req, res) => res.end('ran'), { gate })
   const claimed: string[] = []
   const { claim } = pair.register
--- a/packages/node/src/calls/node-stats.ts
+++ b/packages/node/src/calls/node-stats.ts
@@ -28,6 +28,9 @@
   snapshot: () => StatsSnapshot
 }
 
+/** Period of `reportGauges`, in ms. */
+export const GAUGE_INTERVAL_MS = 1000
+
 /** Reports the load at the gate in front of the target as gauges. */
 export function reportGauges (metrics: MetricsSink | undefined, load: LoadReport): void {
   if (metrics === undefined) return
--- a/packages/node/src/links/connection.ts
+++ b/packages/node/src/links/connection.ts
@@ -3,12 +3,15 @@
 import { createIncomingCall, type IncomingCall } from './incoming-call.js'
 import type { CallHead, StreamMessage } from './messages.js'
 import { createOutgoingCall, type OutgoingCall } from './outgoing-call.js'
+import { createSilenceChecks } from './silence-checks.js'
 
 /** Interval of the check for a silent peer, in ms. */
 export const PING_INTERVAL_MS = 1000
 /** Number of consecutive checks without a byte from the peer after which a connection with open calls is closed. */
 export const SILENT_CHECKS_LIMIT = 3
 
+const silenceChecks = createSilenceChecks(PING_INTERVAL_MS)
+
 /** A message that belongs to a call stream or to the connection itself. */
 type AnyMessage = StreamMessage | ConnectionMessage
 
@@ -76,7 +79,7 @@
   const close = (reason: string) => {
     if (closed) return
     closed = true
-    clearInterval(timer)
+    silenceChecks.remove(checkSilence)
     socket.destroy()
     for (const call of [...outgoing.values()]) call.lost(reason)
     for (const call of [...incoming.values()]) call.lost(reason)
@@ -84,20 +87,25 @@
     handlers.onClose(reason)
   }
   // Counts checks instead of measuring elapsed time: after a pause of this process the peer still has the full time to reply.
-  const timer = setInterval(() => {
-    if (outgoing.size === 0 && incoming.size === 0) {
-      silentChecks = 0
-      return
-    }
+  const checkSilence = () => {
     if (silentChecks >= SILENT_CHECKS_LIMIT) return close(`the peer ${peerVm} sent nothing for ${SILENT_CHECKS_LIMIT} checks of ${PING_INTERVAL_MS} ms`)
     if (silentChecks > 0) write(0, { type: 'ping' })
     silentChecks++
-  }, PING_INTERVAL_MS)
-  timer.unref()
+  }
+  const callOpened = () => {
+    if (outgoing.size + incoming.size > 1) return
+    silentChecks = 0
+    silenceChecks.add(checkSilence)
+  }
+  const callClosed = () => { if (outgoing.size + incoming.size === 0) silenceChecks.remove(checkSilence) }
 
   const receiveCall = (stream: number, head: CallHead) => {
-    const call = createIncomingCall(head, (msg) => write(stream, msg), () => incoming.delete(stream))
+    const call = createIncomingCall(head, (msg) => write(stream, msg), () => {
+      incoming.delete(stream)
+      callClosed()
+    })
     incoming.set(stream, call)
+    callOpened()
     handlers.onCall(call, peerVm)
   }
   const replyTo = async (id: number, kind: string, body: unknown) => {
@@ -121,12 +129,16 @@
     peerVm,
     openCall: (head) => {
       const stream = nextStream++
-      const call = createOutgoingCall(head, (msg) => write(stream, msg), () => outgoing.delete(stream))
+      const call = createOutgoingCall(head, (msg) => write(stream, msg), () => {
+        outgoing.delete(stream)
+        callClosed()
+      })
       if (closed) {
         call.lost(`the connection to ${peerVm} is closed`)
         return call
       }
       outgoing.set(stream, call)
+      callOpened()
       return call
     },
     request: (kind, body, timeoutMs) => new Promise((resolve) => {
--- a/packages/node/src/members/target-watch.ts
+++ b/packages/node/src/members/target-watch.ts
@@ -3,9 +3,10 @@
 
 /** Time without an announcement after which the target counts as gone, in ms. Targets announce themselves every second. */
 export const TARGET_SILENCE_MS = 3000
-const CHECK_INTERVAL_MS = 200
-/** Maximum time counted per check; in any time beyond it this process did not run and could not receive announcements. */
-const MAX_COUNTED_MS = 2 * CHECK_INTERVAL_MS
+/** Longest time between two checks, in ms. */
+const CHECK_INTERVAL_MS = 1000
+/** Delay of a check that counts as silence, in ms; in any time beyond it this process did not run and could receive no announcement. */
+const MAX_DELAY_MS = 200
 
 /** Watch over the announcements of the local target. */
 export type TargetWatch = {
@@ -34,6 +35,7 @@
   const stopping = new AbortController()
   let current: TargetRecord | undefined
   let silentMs = 0
+  let heardMs = -Infinity
 
   const change = (target: TargetRecord) => {
     const same = current?.service === target.service && current.capacity === target.capacity && current.state === target.state
@@ -44,8 +46,9 @@
   const run = async () => {
     while (!stopping.signal.aborted) {
       const startMs = clock.nowMs()
-      await clock.sleep(CHECK_INTERVAL_MS, stopping.signal)
-      silentMs += Math.min(MAX_COUNTED_MS, clock.nowMs() - startMs)
+      const waitMs = current === undefined || current.state === 'gone' ? CHECK_INTERVAL_MS : Math.min(CHECK_INTERVAL_MS, silenceMs - silentMs)
+      await clock.sleep(waitMs, stopping.signal)
+      silentMs += Math.min(waitMs + MAX_DELAY_MS, clock.nowMs() - Math.max(startMs, heardMs))
       if (stopping.signal.aborted || current === undefined || current.state === 'gone' || silentMs < silenceMs) continue
       log.warn({ event: 'target', service: current.service, state: 'gone', silentMs }, 'target no longer announces itself; it gets no work until it does')
       change({ ...current, state: 'gone' })
@@ -55,6 +58,7 @@
   return {
     announce: (target) => {
       silentMs = 0
+      heardMs = clock.nowMs()
       change(target)
     },
     leave: () => { if (current !== undefined && current.state !== 'gone') change({ ...current, state: 'leaving' }) },
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -1,18 +1,19 @@
 import {
-  LEVEL_INTERVAL_MS, createRequestVerifier, notRun, systemClock, systemRandom,
+  createRequestVerifier, notRun, systemClock, systemRandom,
   type Clock, type PeerAddress, type Random, type Settings
 } from '@orioleslip/core'
 import { toAuthority } from '@orioleslip/control/client'
 import type { Logger } from 'pino'
 import { createEntryAdmission } from './admission/entry-admission.js'
 import { createUnlimitedGate, unlimitedAdmission, unlimitedQuotas } from './admission/pass-through.js'
+import { startGateTicks } from './admission/gate-ticks.js'
 import { createTargetGate } from './admission/target-gate.js'
 import { createCallHandler } from './calls/call-handler.js'
 import { createDecisionRecords } from './calls/decision-records.js'
 import { createExecutor } from './calls/executor.js'
 import { createForwarder } from './calls/forwarder.js'
 import { createInboundCalls } from './calls/inbound-calls.js'
-import { createNodeStats, reportGauges, type MetricsSink } from './calls/node-stats.js'
+import { createNodeStats, GAUGE_INTERVAL_MS, reportGauges, type MetricsSink } from './calls/node-stats.js'
 import { createControlCall } from './idempotency/control-call.js'
 import { createIdempotencyGuard } from './idempotency/idempotency-guard.js'
 import { resolveLostCall } from './idempotency/lost-call.js'
@@ -52,9 +53,6 @@
   stop: () => Promise<void>
 }
 
-/** Period of the load gauges, in ms. */
-const GAUGE_INTERVAL_MS = 1000
-
 /** Starts the node of a target; rejects when a port can't be opened. */
 export async function startNode (settings: Settings, deps: NodeDeps): Promise<RunningNode> {
   const { log, metrics } = deps
@@ -154,16 +152,15 @@
     })
   })
   const server = await startCallerServer({ host: vm.address, port: cfg.callerPort }, handler.handle, wellKnown, availability.stopping)
-  const timers = [
-    setInterval(gate.tick, LEVEL_INTERVAL_MS),
-    setInterval(() => reportGauges(metrics, gate.load()), GAUGE_INTERVAL_MS)
-  ]
+  const stopTicks = startGateTicks(gate)
+  const gaugeTimer = setInterval(() => reportGauges(metrics, gate.load()), GAUGE_INTERVAL_MS)
   members.start()
   watch.start()
   log.info({ event: 'start', vmId: vm.id, callerPort: cfg.callerPort, peerPort: cfg.peerPort }, 'node started')
 
   const stop = async () => {
-    for (const timer of timers) clearInterval(timer)
+    stopTicks()
+    clearInterval(gaugeTimer)
     watch.stop()
     members.stop()
     guard.stop()
--- a/packages/node/src/routes/routed-node.ts
+++ b/packages/node/src/routes/routed-node.ts
@@ -1,13 +1,14 @@
 import {
-  LEVEL_INTERVAL_MS, notRun, systemClock, systemRandom,
+  notRun, systemClock, systemRandom,
   type Clock, type PeerAddress, type Random, type Refusal, type Settings
 } from '@orioleslip/core'
 import type { Logger } from 'pino'
+import { startGateTicks } from '../admission/gate-ticks.js'
 import { createTargetGate } from '../admission/target-gate.js'
 import { createExecutor } from '../calls/executor.js'
 import { createForwarder } from '../calls/forwarder.js'
 import { createInboundCalls } from '../calls/inbound-calls.js'
-import { createNodeStats, reportGauges, type MetricsSink } from '../calls/node-stats.js'
+import { createNodeStats, GAUGE_INTERVAL_MS, reportGauges, type MetricsSink } from '../calls/node-stats.js'
 import type { IdempotencyGuard } from '../idempotency/idempotency-guard.js'
 import { createAnnouncedLimit } from '../limits/announced-limit.js'
 import { createLatencies } from '../limits/latencies.js'
@@ -55,9 +56,6 @@
 /** Idle timeout of caller connections until the first routes are received, in ms. */
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000
 
-/** Gauges are reported every second, from the level timer: a separate timer would wake an idle process more often. */
-const GAUGE_TICKS = 1000 / LEVEL_INTERVAL_MS
-
 /** Starts the node of a target in a fleet that uses routes; rejects when a port can't be opened. */
 export async function startRoutedNode (settings: Settings, deps: RoutedNodeDeps): Promise<RoutedNode> {
   const { log, names, metrics } = deps
@@ -133,17 +131,15 @@
   const limits = () => ({ idleTimeoutMs: poller.current()?.limits.idleTimeoutMs ?? DEFAULT_IDLE_TIMEOUT_MS })
   const callerAddress = { host: vm.address, port: cfg.callerPort }
   const server = await startCallerServer(callerAddress, handler.handle, handler.handle, availability.stopping, limits)
-  let ticks = 0
-  const levelTimer = setInterval(() => {
-    gate.tick()
-    if (ticks++ % GAUGE_TICKS === 0) reportGauges(metrics, gate.load())
-  }, LEVEL_INTERVAL_MS)
+  const stopTicks = startGateTicks(gate)
+  const gaugeTimer = setInterval(() => reportGauges(metrics, gate.load()), GAUGE_INTERVAL_MS)
   members.start()
   watch.start()
   log.info({ event: 'start', vmId: vm.id, callerPort: cfg.callerPort, peerPort: cfg.peerPort }, 'node started')
 
   const stop = async () => {
-    clearInterval(levelTimer)
+    stopTicks()
+    clearInterval(gaugeTimer)
     watch.stop()
     members.stop()
     server.abort()
