Let calls at risk leave a slow region for a faster one

Cause: the router kept calls in their region until its targets were full. Change: a node keeps the mean latency of each operation per region. All other calls stay, since bytes between regions are paid for.

--- a/packages/core/src/interfaces/routing.ts
+++ b/packages/core/src/interfaces/routing.ts
@@ -11,6 +11,17 @@
   exclude: ReadonlySet<string>
   /** False keeps the call in its region, as for retries, operations without inter-region volume and short deadlines. */
   mayCrossRegion: boolean
+  /** Operation and the time within which its answer is useful, in ms; without them a call leaves its region only when that is full. */
+  need?: { opKey: string, availableMs: number }
+}
+
+/** A call that has ended, for the statistics of its region. */
+export type EndedCall = {
+  opKey: string
+  /** Time from the dispatch to the end, in ms. */
+  latencyMs: number
+  /** True when the answer came; false when the call was given up, so that it would have taken longer. */
+  answered: boolean
 }
 
 /** Health of a target as shown by the end of a call; `unknown` for calls that their callers cancelled. */
@@ -25,4 +36,6 @@
   callSent: (vmId: string) => void
   /** Ends the count of a call and records what it shows about the target. */
   callEnded: (vmId: string, verdict: TargetVerdict) => void
+  /** Records how long a call to a target in `region` took. */
+  recordLatency: (region: string, call: EndedCall) => void
 }
--- a/packages/node/src/calls/forwarder.test.ts
+++ b/packages/node/src/calls/forwarder.test.ts
@@ -12,7 +12,7 @@
 /** Creates a forwarder whose only peer is reached through `get`. */
 const forwarderTo = (get: PeerPool['get']) => createForwarder({
   self: () => member('self'),
-  router: { pick: () => ({ kind: 'route', member: member('peer'), crossesRegion: false }), recordLoad: () => {}, callSent: () => {}, callEnded: () => {} },
+  router: { pick: () => ({ kind: 'route', member: member('peer'), crossesRegion: false }), recordLoad: () => {}, callSent: () => {}, callEnded: () => {}, recordLatency: () => {} },
   pool: { get, request: () => Promise.resolve(undefined), close: () => {} },
   mayRetry: () => false,
   regionBudget: { reserve: () => undefined },
--- a/packages/node/src/calls/forwarder.ts
+++ b/packages/node/src/calls/forwarder.ts
@@ -26,6 +26,8 @@
   body: RequestBody
   deadline: CallDeadline
   traceFlags: string
+  /** Time within which an answer has its full use, in ms; absent if it has it until the deadline. */
+  targetLatencyMs?: number
   /** Idempotency key of a non-repeatable call, claimed by the executor; each attempt gets a token of its own. */
   claimKey: string | undefined
 }
@@ -127,7 +129,7 @@
     for (;;) {
       const volume = reserveVolume(req, attempts.length)
       const mayCrossRegion = options.allowCrossRegion === true || volume !== undefined
-      const choice = router.pick({ service: req.service, exclude: tried, mayCrossRegion })
+      const choice = router.pick({ service: req.service, exclude: tried, mayCrossRegion, need: needOf(req) })
       if (choice.kind === 'none') {
         volume?.settle(0)
         return { kind: 'refused', refusal: failure ?? refusalForNoRoute(req.service, choice.reason), attempts, report }
@@ -156,7 +158,12 @@
           body: attempted.body,
           finish: attempted.call.finish,
           settle: (finish) => {
-            if (finish.kind === 'complete') latencies.add(req.opKey, clock.nowMs() - startedMs)
+            const latencyMs = clock.nowMs() - startedMs
+            if (finish.kind === 'complete') {
+              latencies.add(req.opKey, latencyMs)
+              // An error response may come early; it does not show how long a region takes for an answer.
+              if (attempted.head.status < 500) router.recordLatency(member.region, { opKey: req.opKey, latencyMs, answered: true })
+            }
             return settle('report' in finish ? finish.report : NO_REPORT, verdictOfFinish(finish))
           },
           attempts,
@@ -164,6 +171,9 @@
         }
       }
       const { reply } = attempted
+      if (req.deadline.expired()) {
+        router.recordLatency(member.region, { opKey: req.opKey, latencyMs: clock.nowMs() - startedMs, answered: false })
+      }
       settle(reply.kind === 'refused' ? reply.report : NO_REPORT, verdictOfReply(req, reply))
       record(reply.kind === 'refused' ? `refused ${reply.refusal.code} (${reply.refusal.outcome})` : reply.kind)
       const ended = failureOf(req, reply)
@@ -225,6 +235,11 @@
   }
 }
 
+/** Operation of a call and the time within which its answer is useful. */
+function needOf ({ opKey, deadline, targetLatencyMs = Infinity }: ForwardRequest): { opKey: string, availableMs: number } {
+  return { opKey, availableMs: Math.min(deadline.remainingMs(), targetLatencyMs) }
+}
+
 /** Number of bytes that a call moved between regions. */
 function wireBytes (req: ForwardRequest, call: OutgoingCall | undefined): number {
   if (call === undefined) return 0
--- a/packages/node/src/routes/route-handler.ts
+++ b/packages/node/src/routes/route-handler.ts
@@ -108,6 +108,7 @@
       body,
       deadline,
       traceFlags: '00',
+      targetLatencyMs: route.targetLatencyMs,
       claimKey: undefined
     })
   }
--- a/packages/node/src/routing/router.ts
+++ b/packages/node/src/routing/router.ts
@@ -1,4 +1,6 @@
-import type { Clock, LoadReport, Member, MemberRecord, MembersView, Random, RouteChoice, Router } from '@orioleslip/core'
+import type { Clock, LoadReport, Member, MemberRecord, MembersView, Random, RouteChoice, Router, RouteRequest } from '@orioleslip/core'
+import { createRegionChoice } from './region-choice.js'
+import { createRegionLatencies } from './region-latencies.js'
 
 type TargetStats = {
   load: LoadReport | undefined
@@ -37,6 +39,8 @@
 export function createRouter (opts: { members: MembersView, clock: Clock, random: Random }): Router {
   const { members, clock, random } = opts
   const statsByVm = new Map<string, TargetStats>()
+  const latencies = createRegionLatencies(clock)
+  const chooseRegion = createRegionChoice({ self: () => members.self().region, latencies, random })
   let changes = 0
 
   const statsOf = (vmId: string): TargetStats => {
@@ -91,11 +95,21 @@
     }
     return best
   }
-  const choose = (candidates: MemberRecord[], mayCrossRegion: boolean): MemberRecord | undefined => {
+  /** Picks a target in another region for a call that is at risk of missing its time in this one. */
+  const pickFasterRegion = (candidates: MemberRecord[], need: RouteRequest['need']): MemberRecord | undefined => {
+    if (need === undefined) return undefined
+    const spareElsewhere = candidates.filter((record) =>
+      record.region !== members.self().region && !isShedding(record) && costOf(record) < FULL_IN_REGION)
+    const region = chooseRegion({ ...need, otherRegions: [...new Set(spareElsewhere.map((record) => record.region))] })
+    return region === undefined ? undefined : pickOfTwo(spareElsewhere.filter((record) => record.region === region))
+  }
+  const choose = (candidates: MemberRecord[], { mayCrossRegion, need }: RouteRequest): MemberRecord | undefined => {
     const self = members.self()
     const inRegion = candidates.filter((record) => record.region === self.region)
     const nearby = inRegion.filter((record) => record.failureDomain === self.failureDomain)
     const spare = (tier: MemberRecord[], bound: number) => tier.filter((record) => costOf(record) < bound)
+    const faster = mayCrossRegion ? pickFasterRegion(candidates, need) : undefined
+    if (faster !== undefined) return faster
     const spareNearby = spare(nearby, FULL_IN_REGION)
     if (spareNearby.length > 0) return pickOfTwo(spareNearby)
     const spareInRegion = spare(inRegion, FULL_BEFORE_CROSSING)
@@ -109,13 +123,14 @@
   }
 
   return {
-    pick: ({ service, exclude, mayCrossRegion }): RouteChoice => {
+    pick: (req): RouteChoice => {
+      const { service, exclude, mayCrossRegion } = req
       const all = members.ofService(service)
       if (all.length === 0) return { kind: 'none', reason: 'service-unknown' }
       const usable = usableMembers(all).map((member) => member.record)
       const reachable = mayCrossRegion ? usable : usable.filter((record) => record.region === members.self().region)
       if (reachable.length === 0) return { kind: 'none', reason: 'no-target' }
-      const member = choose(reachable.filter((record) => !exclude.has(record.vmId)), mayCrossRegion)
+      const member = choose(reachable.filter((record) => !exclude.has(record.vmId)), req)
       if (member === undefined) return { kind: 'none', reason: 'all-excluded' }
       return { kind: 'route', member, crossesRegion: member.region !== members.self().region }
     },
@@ -137,6 +152,10 @@
       const before = faultShareOf(stats)
       stats.faultShare = before + ((verdict === 'faulty' ? 1 : 0) - before) * FAULT_WEIGHT
       stats.faultShareMs = clock.nowMs()
+    },
+    recordLatency: (region, { opKey, latencyMs, answered }) => {
+      if (answered) latencies.add(region, opKey, latencyMs)
+      else latencies.addLowerBound(region, opKey, latencyMs)
     }
   }
 }
--- a/packages/node/src/testing/node-pair.ts
+++ b/packages/node/src/testing/node-pair.ts
@@ -111,7 +111,7 @@
   const latencies = createLatencies(clock)
   const forwarder = createForwarder({
     self: () => entry,
-    router: { pick, recordLoad: () => {}, callSent: () => {}, callEnded: () => {} },
+    router: { pick, recordLoad: () => {}, callSent: () => {}, callEnded: () => {}, recordLatency: () => {} },
     pool,
     mayRetry: createLedgerRetries(async (ctx) => ledger.take(ctx.requestId), latencies),
     regionBudget: createInterRegionBudget({ clock, share: () => 1 }),
