Retry a repeatable call after an error response, and never call it not run

And after a first attempt whose outcome was unknown, a second one that was refused made the whole call be reported as not run. Change: in a routes fleet a repeatable call that a target answers with 500 or 502 counts as failed; it is retried within attempts and repeat budget. Once a target may have run a call, a later refusal no longer says that it did not. The reading of an attempt's result moved into a module of its own.

--- a/packages/node/src/calls/forwarder.test.ts
+++ b/packages/node/src/calls/forwarder.test.ts
@@ -1,34 +1,62 @@
 import test from 'ava'
-import { systemClock, type MemberRecord } from '@orioleslip/core'
+import { notRun, systemClock, unknownOutcome, type MemberRecord, type Operation, type Refusal } from '@orioleslip/core'
 import { createLatencies } from '../limits/latencies.js'
+import type { PeerConnection } from '../links/connection.js'
+import { createOutgoingCall, type OutgoingCall } from '../links/outgoing-call.js'
 import type { PeerPool } from '../links/pool.js'
 import { startDeadline } from './call-deadline.js'
-import { createForwarder, type ForwardRequest } from './forwarder.js'
+import { createForwarder, type ForwardRequest, type MayRetry } from './forwarder.js'
 
 const member = (vmId: string): MemberRecord => ({
   vmId, incarnation: 1, version: 1, role: 'node', host: '127.0.0.1', peerPort: 1, callerPort: 0, gossipPort: 0, region: 'r', failureDomain: 'd'
 })
 
-/** Creates a forwarder whose only peer is reached through `get`. */
-const forwarderTo = (get: PeerPool['get']) => createForwarder({
+/** Creates a forwarder whose only peer is reached through `get`; every failed call may be retried if `mayRetry` says so. */
+const forwarderTo = (get: PeerPool['get'], mayRetry: MayRetry = () => false) => createForwarder({
   self: () => member('self'),
-  router: { pick: () => ({ kind: 'route', member: member('peer'), crossesRegion: false }), recordLoad: () => {}, callSent: () => {}, callEnded: () => {}, recordLatency: () => {} },
+  router: {
+    pick: () => ({ kind: 'route', member: member('peer'), crossesRegion: false }),
+    recordLoad: () => {},
+    callSent: () => {},
+    callEnded: () => {},
+    recordLatency: () => {}
+  },
   pool: { get, request: () => Promise.resolve(undefined), close: () => {} },
-  mayRetry: () => false,
+  mayRetry,
+  isErrorResponse: (status) => status === 500,
   regionBudget: { reserve: () => undefined },
   latencies: createLatencies(systemClock),
   clock: systemClock,
   onRetry: () => {},
   runLocally: () => {}
 })
-const requestWithin = (ms: number): ForwardRequest => ({
+const NO_REPORT = { pathLevel: 0, regionBytes: 0 }
+const respond = (call: OutgoingCall, status: number) => {
+  call.receive({ type: 'responseHead', head: { status, headers: [] } })
+  call.receive({ type: 'responseData', chunk: Buffer.from(`body of ${status}`) })
+  call.receive({ type: 'responseEnd', report: NO_REPORT })
+}
+const refuse = (refusal: Refusal) => (call: OutgoingCall) => call.receive({ type: 'refuse', refusal, report: NO_REPORT })
+
+/** Creates a peer that ends the calls sent to it by `ends`, one after the other. */
+function scriptedPeer (ends: Array<(call: OutgoingCall) => void>) {
+  let calls = 0
+  const openCall: PeerConnection['openCall'] = (head) => {
+    const call = createOutgoingCall(head, () => {}, () => {})
+    const end = ends[calls++]!
+    queueMicrotask(() => end(call))
+    return call
+  }
+  return { calls: () => calls, get: () => ({ openCall }) as PeerConnection }
+}
+const requestWithin = (ms: number, repeatable = true): ForwardRequest => ({
   root: { requestId: 'r', traceId: 'r', customer: '', entryOpKey: 'o', priority: 0, ledger: { host: '127.0.0.1', port: 1 }, region: 'r' },
   service: 's',
   method: 'POST',
   path: '/',
   headers: [],
   opKey: 'o',
-  op: undefined,
+  op: { repeatable } as Operation,
   body: { kind: 'none' },
   deadline: startDeadline(ms, systemClock.nowMs),
   traceFlags: '00',
@@ -41,3 +69,40 @@
   const result = await forward(requestWithin(20))
   t.is(result.kind === 'refused' ? result.refusal.outcome : result.kind, 'not-run')
 })
+
+// Guards against a caller that is told that its call did not run, because the last of several nodes refused it before it reached a target,
+// although an earlier one lost the response of a target that may have run it.
+test('a call whose first attempt may have run is never reported as not run', async (t) => {
+  const peer = scriptedPeer([refuse(unknownOutcome('target-lost', 'reset')), refuse(notRun('overloaded', 'full', 1))])
+  const { forward } = forwarderTo(peer.get, ({ attempts }) => attempts < 2)
+  const result = await forward(requestWithin(1000))
+  t.is(peer.calls(), 2)
+  t.like(result, { kind: 'refused', refusal: { outcome: 'unknown', code: 'target-lost' } })
+})
+
+// Guards against requests that fail as a whole because one of many servers answered one repeatable call with an error.
+test('a repeatable call that a target answered with an error is sent to another target, any other call is not', async (t) => {
+  const failing = (call: OutgoingCall) => respond(call, 500)
+  const working = (call: OutgoingCall) => respond(call, 200)
+  const cases = [
+    { ends: [failing, working], status: 200, calls: 2 },
+    { ends: [working], status: 200, calls: 1 },
+    { ends: [failing], status: 500, calls: 1, repeatable: false },
+    { ends: [failing, failing], status: 500, calls: 2 }
+  ]
+  for (const { ends, status, calls, repeatable = true } of cases) {
+    const peer = scriptedPeer(ends)
+    const { forward } = forwarderTo(peer.get, ({ attempts }) => attempts < 2)
+    const result = await forward(requestWithin(1000, repeatable))
+    t.is(peer.calls(), calls)
+    t.is(result.kind === 'answer' ? result.head.status : 0, status)
+    if (result.kind === 'answer') t.is(Buffer.from((await result.body.read())!).toString(), `body of ${status}`)
+  }
+})
+
+// Guards against an error of a target being replaced by a refusal that says less, when the second target refuses the call.
+test('a call that got an error and then a refusal is reported with an unknown outcome', async (t) => {
+  const peer = scriptedPeer([(call) => respond(call, 500), refuse(notRun('overloaded', 'full', 1))])
+  const { forward } = forwarderTo(peer.get, ({ attempts }) => attempts < 2)
+  t.like(await forward(requestWithin(1000)), { kind: 'refused', refusal: { outcome: 'unknown', code: 'bad-answer' } })
+})
--- a/packages/node/src/calls/forwarder.ts
+++ b/packages/node/src/calls/forwarder.ts
@@ -1,12 +1,13 @@
 import {
-  notRun, unknownOutcome, type Clock, type MemberRecord, type Operation, type Refusal, type RequestContext, type Router, type TargetVerdict
+  unknownOutcome, type Clock, type MemberRecord, type Operation, type Refusal, type RequestContext, type Router, type TargetVerdict
 } from '@orioleslip/core'
 import type { ByteQueue } from '../links/byte-queue.js'
 import type { IncomingCall } from '../links/incoming-call.js'
 import { createLocalCall } from '../links/local-call.js'
 import type { CallHead, CallReport, ResponseHead } from '../links/messages.js'
-import type { CallFinish, CallReply, OutgoingCall } from '../links/outgoing-call.js'
+import type { CallFinish, OutgoingCall } from '../links/outgoing-call.js'
 import type { PeerPool } from '../links/pool.js'
+import { cancelledRefusal, failureOf, refusalForNoRoute, verdictOfFinish, verdictOfReply, type AttemptResult } from './attempt-result.js'
 import type { CallDeadline } from './call-deadline.js'
 import { newAttemptToken } from '../idempotency/token.js'
 import type { Latencies } from '../limits/latencies.js'
@@ -48,6 +49,8 @@
   pool: PeerPool
   /** Decides whether a failed call is retried at another target. */
   mayRetry: MayRetry
+  /** True for the status of a response after which a repeatable call is retried like a failed one; none by default. */
+  isErrorResponse?: (status: number) => boolean
   regionBudget: InterRegionBudget
   /** True if calls may go to other regions without an inter-region volume of their operation. */
   allowCrossRegion?: boolean
@@ -74,15 +77,6 @@
 const HEAD_BYTES = 400
 /** Shortest remaining time, in ms, with which a call may go to another region: two round trips of 40 ms. */
 const MIN_CROSS_REGION_MS = 80
-type AttemptResult =
-  | { kind: 'answer', call: OutgoingCall, head: ResponseHead, body: ByteQueue }
-  | { kind: 'ended', call: OutgoingCall | undefined, reply: Exclude<CallReply, { kind: 'head' }> | { kind: 'notSent', message: string } }
-
-/** Consequence of a failed attempt for the request: `failed` may be retried, `final` may not, `lost` needs a lookup of its outcome. */
-type Failure =
-  | { kind: 'failed', refusal: Refusal }
-  | { kind: 'final', refusal: Refusal }
-  | { kind: 'lost', message: string }
 
 /** Creates the forwarder, which sends calls to targets: it picks the VM, accounts for inter-region traffic and retries failed attempts. */
 export function createForwarder (options: ForwarderOptions) {
@@ -126,13 +120,25 @@
     const tried = new Set<string>()
     let report: CallReport = { pathLevel: 0, regionBytes: 0 }
     let failure: Refusal | undefined
+    // Once a target may have run the call, a later refusal must not report it as not run.
+    let mayHaveRun: Refusal | undefined
+    const refused = (refusal: Refusal): ForwardResult => ({
+      kind: 'refused', refusal: refusal.outcome === 'not-run' ? mayHaveRun ?? refusal : refusal, attempts, report
+    })
+    const retry = async (refusal: Refusal, reachedTarget: boolean): Promise<boolean> => {
+      failure = refusal
+      if (!(await options.mayRetry({ req, refusal, attempts: attempts.length, reachedTarget }))) return false
+      if (refusal.outcome !== 'not-run') mayHaveRun = refusal
+      options.onRetry()
+      return true
+    }
     for (;;) {
       const volume = reserveVolume(req, attempts.length)
       const mayCrossRegion = options.allowCrossRegion === true || volume !== undefined
       const choice = router.pick({ service: req.service, exclude: tried, mayCrossRegion, need: needOf(req) })
       if (choice.kind === 'none') {
         volume?.settle(0)
-        return { kind: 'refused', refusal: failure ?? refusalForNoRoute(req.service, choice.reason), attempts, report }
+        return refused(failure ?? refusalForNoRoute(req.service, choice.reason))
       }
       const { member, crossesRegion } = choice
       tried.add(member.vmId)
@@ -151,24 +157,24 @@
       const record = (result: string) => attempts.push({ vmId: member.vmId, crossedRegion: crossesRegion, result })
 
       if (attempted.kind === 'answer') {
-        record(`answer ${attempted.head.status}`)
-        return {
-          kind: 'answer',
-          head: attempted.head,
-          body: attempted.body,
-          finish: attempted.call.finish,
-          settle: (finish) => {
-            const latencyMs = clock.nowMs() - startedMs
-            if (finish.kind === 'complete') {
-              latencies.add(req.opKey, latencyMs)
-              // An error response may come early; it does not show how long a region takes for an answer.
-              if (attempted.head.status < 500) router.recordLatency(member.region, { opKey: req.opKey, latencyMs, answered: true })
-            }
-            return settle('report' in finish ? finish.report : NO_REPORT, verdictOfFinish(finish))
-          },
-          attempts,
-          report
+        const { head, body, call } = attempted
+        record(`answer ${head.status}`)
+        const settleFinish = (finish: CallFinish): CallReport => {
+          const latencyMs = clock.nowMs() - startedMs
+          if (finish.kind === 'complete') {
+            latencies.add(req.opKey, latencyMs)
+            // An error response may come early; it does not show how long a region takes for an answer.
+            if (head.status < 500) router.recordLatency(member.region, { opKey: req.opKey, latencyMs, answered: true })
+          }
+          return settle('report' in finish ? finish.report : NO_REPORT, verdictOfFinish(finish))
+        }
+        const isError = req.op?.repeatable === true && options.isErrorResponse?.(head.status) === true
+        if (isError && await retry(unknownOutcome('bad-answer', `a target answered with status ${head.status}`), true)) {
+          discardBody(body)
+          call.finish.then(settleFinish)
+          continue
         }
+        return { kind: 'answer', head, body, finish: call.finish, settle: settleFinish, attempts, report }
       }
       const { reply } = attempted
       if (req.deadline.expired()) {
@@ -178,13 +184,10 @@
       record(reply.kind === 'refused' ? `refused ${reply.refusal.code} (${reply.refusal.outcome})` : reply.kind)
       const ended = failureOf(req, reply)
       if (ended.kind === 'lost' && claim !== undefined) return { kind: 'lost', token: claim.token, message: ended.message, attempts, report }
-      if (ended.kind !== 'failed') return { kind: 'refused', refusal: ended.kind === 'final' ? ended.refusal : cancelledRefusal(req), attempts, report }
-      failure = ended.refusal
+      if (ended.kind === 'lost') return refused(cancelledRefusal(req))
+      if (ended.kind === 'final') return refused(ended.refusal)
       const reachedTarget = reply.kind === 'refused' ? reply.report.reachedTarget === true : reply.kind !== 'notSent'
-      if (!(await options.mayRetry({ req, refusal: failure, attempts: attempts.length, reachedTarget }))) {
-        return { kind: 'refused', refusal: failure, attempts, report }
-      }
-      options.onRetry()
+      if (!(await retry(ended.refusal, reachedTarget))) return refused(ended.refusal)
     }
   }
   return { forward }
@@ -192,6 +195,12 @@
 
 export type Forwarder = ReturnType<typeof createForwarder>
 
+/** Reads the rest of a response that nobody gets, so that its connection can be used again. */
+function discardBody (body: ByteQueue): void {
+  const discard = async () => { while (await body.read() !== undefined); }
+  discard().catch(() => undefined)
+}
+
 /** Resolves with the result of a promise, or with undefined if the signal aborts first. */
 function untilAborted<T> (promise: Promise<T>, signal: AbortSignal): Promise<T | undefined> {
   if (signal.aborted) return Promise.resolve(undefined)
@@ -221,20 +230,6 @@
   }
 }
 
-function failureOf (req: ForwardRequest, reply: Extract<AttemptResult, { kind: 'ended' }>['reply']): Failure {
-  switch (reply.kind) {
-    case 'refused': return { kind: 'failed', refusal: reply.refusal }
-    case 'notSent': return { kind: 'failed', refusal: notRun('target-lost', reply.message, 1) }
-    case 'lost':
-      if (req.claimKey !== undefined) return reply
-      return { kind: 'failed', refusal: unknownOutcome('target-lost', reply.message) }
-    case 'cancelled': {
-      const refusal = cancelledRefusal(req)
-      return req.claimKey === undefined ? { kind: 'final', refusal } : { kind: 'lost', message: refusal.detail }
-    }
-  }
-}
-
 /** Operation of a call and the time within which its answer is useful. */
 function needOf ({ opKey, deadline, targetLatencyMs = Infinity }: ForwardRequest): { opKey: string, availableMs: number } {
   return { opKey, availableMs: Math.min(deadline.remainingMs(), targetLatencyMs) }
@@ -246,39 +241,3 @@
   const { sent, received } = call.bytes()
   return sent + received + HEAD_BYTES + req.headers.reduce((sum, part) => sum + part.length + 2, 0)
 }
-
-function verdictOfReply (req: ForwardRequest, reply: Extract<AttemptResult, { kind: 'ended' }>['reply']): TargetVerdict {
-  // A target that holds a call until its deadline may hang; a call that its caller cancelled earlier says nothing about the target.
-  if (req.deadline.signal.aborted && !req.deadline.expired()) return 'unknown'
-  switch (reply.kind) {
-    case 'refused': return isFault(reply.refusal) ? 'faulty' : 'sound'
-    case 'notSent': case 'lost': case 'cancelled': return 'faulty'
-  }
-}
-
-function verdictOfFinish (finish: CallFinish): TargetVerdict {
-  switch (finish.kind) {
-    case 'complete': return 'sound'
-    case 'cancelled': return 'unknown'
-    case 'aborted': case 'lost': return 'faulty'
-  }
-}
-
-/** True for refusals caused by a fault of the target or node, false for deliberate ones. */
-function isFault (refusal: Refusal): boolean {
-  return refusal.code === 'target-lost' || refusal.code === 'bad-answer' || refusal.code === 'internal-error'
-}
-
-function refusalForNoRoute (service: string, reason: 'service-unknown' | 'no-target' | 'all-excluded'): Refusal {
-  switch (reason) {
-    case 'service-unknown': return notRun('service-unknown', `no target has announced the service "${service}"`)
-    case 'no-target': return notRun('no-target', `no target of "${service}" can take the call`, 1)
-    case 'all-excluded': return notRun('no-target', `every reachable target of "${service}" has been tried`, 1)
-  }
-}
-
-function cancelledRefusal (req: ForwardRequest): Refusal {
-  return req.deadline.expired()
-    ? unknownOutcome('deadline-exceeded', 'the deadline passed after the call was sent to a target')
-    : unknownOutcome('target-lost', 'the caller disconnected after the call was sent to a target')
-}
--- a/packages/node/src/routes/routed-node.ts
+++ b/packages/node/src/routes/routed-node.ts
@@ -53,6 +53,9 @@
   isReady: () => boolean
 }
 
+/** Statuses with which a target reports that it, or a service behind it, failed. A gateway timeout leaves no time for a retry. */
+const ERROR_STATUSES = new Set([500, 502])
+
 /** Idle timeout of caller connections until the first routes are received, in ms. */
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000
 
@@ -104,6 +107,7 @@
     self: members.self,
     router: createRouter({ members, clock, random }),
     pool,
+    isErrorResponse: (status) => ERROR_STATUSES.has(status),
     mayRetry: createRoutedRetries(budget, (opKey) => routes()?.maxAttempts(opKey) ?? 1),
     regionBudget: { reserve: () => undefined },
     allowCrossRegion: true,
