Close a connection whose response belongs to another call

Cause: a target that sends a second copy of a response, late, on a connection in use again: a copy without an id was passed to the next caller as its own response; one with another id was refused, but was complete by then, so that closing it did nothing and the connection was used for the next call. Change: the id is compared while the head is being parsed, and the connection is closed there; a response without the id belongs to no call.

--- a/packages/node/src/calls/executor.ts
+++ b/packages/node/src/calls/executor.ts
@@ -24,7 +24,9 @@
   callRefusal: () => Refusal | undefined
   /** Builds the headers sent to the target; by default those of orioleslip's own HTTP interface. */
   targetHeaders?: TargetHeaders
-  /** Refusal for a response that does not belong to the call, or that says that the target did not run it; undefined otherwise. */
+  /** True for a response whose headers show that it belongs to another call; its connection is closed and not used again. */
+  isForeignResponse?: (call: IncomingCall, headers: readonly string[]) => boolean
+  /** Refusal for a response that says that the target did not run the call; undefined otherwise. */
   checkResponse?: (call: IncomingCall, reply: Pick<TargetHead, 'status' | 'headers'>) => Refusal | undefined
   /** Called for each call refused here, with the load that the decision was based on. */
   onRefused?: (call: IncomingCall, refusal: Refusal, report: CallReport) => void
@@ -38,7 +40,8 @@
 /** Creates the executor, which runs calls at the target on this VM. */
 export function createExecutor (options: ExecutorOptions) {
   const { target, gate, inbound, guard, clock } = options
-  const { targetHeaders = defaultTargetHeaders, checkResponse = () => undefined, onRefused = () => {} } = options
+  const { targetHeaders = defaultTargetHeaders, isForeignResponse = () => false } = options
+  const { checkResponse = () => undefined, onRefused = () => {} } = options
 
   const reportOf = (call: InboundCall): CallReport => {
     const load = gate.load()
@@ -122,8 +125,14 @@
       path: head.path,
       headers: targetHeaders(call, deadline, self, current.announcement),
       body: body.value,
-      signal: deadline.signal
+      signal: deadline.signal,
+      isForeign: (headers) => isForeignResponse(call, headers)
     })
+    if (reply.kind === 'foreign') {
+      permit.release({ kind: 'failed', latencyMs: latencyMs() })
+      const refusal = unknownOutcome('bad-answer', 'the target sent the response to another request')
+      return refuseCall(call, refusal, { ...reportOf(self), reachedTarget: true })
+    }
     if (reply.kind === 'failed') return finishFailed({ call, deadline, self, permit, guardedRun, latencyMs, reply })
     const rejection = checkResponse(call, reply)
     if (rejection !== undefined) {
--- a/packages/node/src/routes/call-headers.ts
+++ b/packages/node/src/routes/call-headers.ts
@@ -1,4 +1,4 @@
-import { headerValue, notRun, unknownOutcome, type Refusal } from '@orioleslip/core'
+import { headerValue, notRun, type Refusal } from '@orioleslip/core'
 import type { TargetHeaders } from '../calls/executor.js'
 import type { IncomingCall } from '../links/incoming-call.js'
 import type { ResponseHead } from '../links/messages.js'
@@ -38,12 +38,17 @@
   ]
 }
 
-/** Creates the check of a target's response: returns a refusal when it belongs to another call or when the target did not run the call. */
-export function createResponseCheck (names: CallHeaderNames) {
-  return (call: IncomingCall, { status, headers }: ResponseHead): Refusal | undefined => {
-    const responseRequestId = headerValue(headers, names.requestId)
+/** Creates the test of a response for the id of its call, which targets copy; a response without the id belongs to no call known here. */
+export function createForeignResponseTest (names: CallHeaderNames) {
+  return (call: IncomingCall, headers: readonly string[]): boolean => {
     const callRequestId = headerValue(call.head.headers, names.requestId)
-    if (responseRequestId !== undefined && callRequestId !== undefined && responseRequestId !== callRequestId) return unknownOutcome('bad-answer', `the response belongs to request ${responseRequestId}`)
+    return callRequestId !== undefined && headerValue(headers, names.requestId) !== callRequestId
+  }
+}
+
+/** Creates the check of a target's response: returns a refusal when the target did not run the call. */
+export function createResponseCheck (names: CallHeaderNames) {
+  return (_call: IncomingCall, { status, headers }: ResponseHead): Refusal | undefined => {
     if (status === MISDIRECTED) return notRun('no-target', 'the target has been replaced by another instance', SHED_RETRY_AFTER_S)
     if (headerValue(headers, names.notExecuted) === undefined) return undefined
     return notRun('overloaded', `the target did not run the call and responded with status ${status}`, SHED_RETRY_AFTER_S)
--- a/packages/node/src/routes/routed-node.ts
+++ b/packages/node/src/routes/routed-node.ts
@@ -24,7 +24,7 @@
 import { createAvailability } from '../server/drain.js'
 import { createPlannedStop } from '../server/planned-stop.js'
 import { createLocalTarget, type Announcement } from '../target/local-target.js'
-import { createResponseCheck, createRoutedTargetHeaders, type CallHeaderNames } from './call-headers.js'
+import { createForeignResponseTest, createResponseCheck, createRoutedTargetHeaders, type CallHeaderNames } from './call-headers.js'
 import { createDestinationChooser } from './destinations.js'
 import { createRepeatBudget } from './repeat-budget.js'
 import { createRouteHandler, type RequestSummary } from './route-handler.js'
@@ -89,6 +89,7 @@
     callRefusal: () =>
       members.isConfirmed() ? availability.targetRefusal() : notRun('no-target', 'the node is not yet a confirmed member', 1),
     targetHeaders: createRoutedTargetHeaders(names),
+    isForeignResponse: createForeignResponseTest(names),
     checkResponse: createResponseCheck(names),
     onRefused: (call, refusal, report) => logRefusedCall(log, call, refusal, report)
   })
--- a/packages/node/src/target/target-client.ts
+++ b/packages/node/src/target/target-client.ts
@@ -9,7 +9,15 @@
   | { kind: 'buffered', bytes: Uint8Array }
   | { kind: 'stream', queue: Pick<ByteQueue, 'read'> }
 
-export type TargetRequest = { method: string, path: string, headers: string[], body: TargetBody, signal: AbortSignal }
+export type TargetRequest = {
+  method: string
+  path: string
+  headers: string[]
+  body: TargetBody
+  signal: AbortSignal
+  /** True if a response with these headers belongs to another request; its connection is closed at once, before it can be used again. */
+  isForeign?: (headers: readonly string[]) => boolean
+}
 
 /** First result of a call to the target. `sent` is false only if no byte was written to the target. */
 export type TargetReply =
@@ -24,6 +32,7 @@
     abort: () => void
   }
   | { kind: 'failed', sent: boolean, message: string }
+  | { kind: 'foreign' }
 
 export type TargetClientOptions = {
   /** Accepts responses without framing, which end with their connection; only a reset then shows that one is incomplete. */
@@ -130,6 +139,10 @@
     onResponseStart: (_controller, status, _headers) => {
       if (status < 200) return
       const raw = toStrings(_controller.rawHeaders)
+      if (req.isForeign?.(raw) === true) {
+        resolve({ kind: 'foreign' })
+        return abort()
+      }
       framed = isFramed(req.method, status, raw)
       if (!framed && !acceptUnframed) {
         fail('the response has neither Content-Length nor chunked encoding, so that its end can\'t be checked')
