Keep non-repeatable calls open while a peer is silent

Cause: a connection without a byte for three checks was closed with all its calls. For a non-repeatable call of a routes fleet that meant an unknown outcome although its node may only have been frozen; and the node that ran it cancelled it at the target because its caller was silent. Change: a silent peer gets no new calls on that connection and its repeatable calls are lost, as before; calls that may not run twice stay open, and so do calls from the peer. The connection is closed by a later check, once unused; closing it at the end of the last call would drop that call's last frames, which the test showed.

--- a/packages/node/src/calls/forwarder.ts
+++ b/packages/node/src/calls/forwarder.ts
@@ -83,18 +83,21 @@
   const { router, pool, latencies, clock } = options
 
   /** Opens a call stream when the peer is connected; returns an error message if it can't be reached or `signal` aborts first. */
-  const openCall = async (member: MemberRecord, head: () => CallHead, signal: AbortSignal): Promise<OutgoingCall | string> => {
+  const openCall = async (req: ForwardRequest, member: MemberRecord, head: () => CallHead): Promise<OutgoingCall | string> => {
+    const { signal } = req.deadline
+    // The outcome of a call with a claim is looked up in the key register instead.
+    const callOptions = { outlivesSilence: req.claimKey === undefined && req.op?.repeatable === false }
     if (member.vmId === options.self().vmId) return createLocalCall(head(), options.runLocally)
     const found = pool.get({ host: member.host, port: member.peerPort })
-    if (!(found instanceof Promise)) return found.openCall(head())
+    if (!(found instanceof Promise)) return found.openCall(head(), callOptions)
     const dialed = await untilAborted(found, signal)
     if (dialed === undefined) return 'the deadline passed before the peer link to the node was open'
-    return dialed.isOk() ? dialed.value.openCall(head()) : dialed.error.message
+    return dialed.isOk() ? dialed.value.openCall(head(), callOptions) : dialed.error.message
   }
 
   const sendAttempt = async (req: ForwardRequest, member: MemberRecord, crossesRegion: boolean, claim: CallHead['claim']): Promise<AttemptResult> => {
     const deferBody = crossesRegion || req.body.kind === 'stream'
-    const call = await openCall(member, () => headOf(req, deferBody, claim), req.deadline.signal)
+    const call = await openCall(req, member, () => headOf(req, deferBody, claim))
     if (typeof call === 'string') return { kind: 'ended', call: undefined, reply: { kind: 'notSent', message: call } }
     const cancel = () => call.cancel()
     if (req.deadline.signal.aborted) cancel()
--- a/packages/node/src/links/connection.ts
+++ b/packages/node/src/links/connection.ts
@@ -7,7 +7,7 @@
 
 /** Interval of the check for a silent peer, in ms. */
 export const PING_INTERVAL_MS = 1000
-/** Number of consecutive checks without a byte from the peer after which a connection with open calls is closed. */
+/** Number of consecutive checks without a byte from the peer after which it counts as silent, if it has open calls. */
 export const SILENT_CHECKS_LIMIT = 3
 
 const silenceChecks = createSilenceChecks(PING_INTERVAL_MS)
@@ -20,13 +20,21 @@
   onCall: (call: IncomingCall, fromVm: string) => void
   /** Handles a request of the peer; returns the body of the reply, or a promise of it. */
   onRequest: (kind: string, body: unknown, fromVm: string) => unknown
+  /** Called when the peer has been silent for too long; new calls need another connection from then on. */
+  onSilent?: () => void
   onClose: (reason: string) => void
 }
 
+/** Properties of a call on a connection. */
+export type CallOptions = {
+  /** True keeps the call open while the peer is silent: it may be running there and must not be sent to another target. */
+  outlivesSilence?: boolean
+}
+
 /** An authenticated connection between two nodes. */
 export type PeerConnection = {
   peerVm: string
-  openCall: (head: CallHead) => OutgoingCall
+  openCall: (head: CallHead, options?: CallOptions) => OutgoingCall
   /** Sends a request to the peer and resolves with the body of its reply; undefined if no reply arrives within `timeoutMs`. */
   request: (kind: string, body: unknown, timeoutMs: number) => Promise<unknown>
   openCalls: () => number
@@ -69,11 +77,13 @@
 export function createPeerConnection (socket: Socket, peerVm: string, handlers: ConnectionHandlers): PeerConnection {
   const outgoing = new Map<number, OutgoingCall>()
   const incoming = new Map<number, IncomingCall>()
+  const outlivesSilence = new Set<OutgoingCall>()
   const pendingRequests = new Map<number, (body: unknown) => void>()
   const write = createFrameWriter(socket)
   let nextStream = 1
   let nextRequest = 1
   let silentChecks = 0
+  let silent = false
   let closed = false
 
   const close = (reason: string) => {
@@ -86,9 +96,24 @@
     for (const settle of [...pendingRequests.values()]) settle(undefined)
     handlers.onClose(reason)
   }
+  // A silent peer may only be frozen or cut off for a while. Calls that it runs for this node go on unless they may be sent elsewhere, and
+  // so do calls that it has sent here; each ends at its deadline at the latest.
+  const becomeSilent = () => {
+    silent = true
+    handlers.onSilent?.()
+    const reason = `the peer ${peerVm} sent nothing for ${SILENT_CHECKS_LIMIT} checks of ${PING_INTERVAL_MS} ms`
+    for (const [stream, call] of [...outgoing]) {
+      if (outlivesSilence.has(call)) continue
+      write(stream, { type: 'cancel' })
+      call.lost(reason)
+    }
+  }
+  // Runs with the checks, not at the end of the last call, so that its last frames are sent first.
+  const closeIfUnused = () => { if (outgoing.size + incoming.size === 0) close(`the peer ${peerVm} was silent`) }
   // Counts checks instead of measuring elapsed time: after a pause of this process the peer still has the full time to reply.
   const checkSilence = () => {
-    if (silentChecks >= SILENT_CHECKS_LIMIT) return close(`the peer ${peerVm} sent nothing for ${SILENT_CHECKS_LIMIT} checks of ${PING_INTERVAL_MS} ms`)
+    if (silent) return closeIfUnused()
+    if (silentChecks >= SILENT_CHECKS_LIMIT) return becomeSilent()
     if (silentChecks > 0) write(0, { type: 'ping' })
     silentChecks++
   }
@@ -97,7 +122,9 @@
     silentChecks = 0
     silenceChecks.add(checkSilence)
   }
-  const callClosed = () => { if (outgoing.size + incoming.size === 0) silenceChecks.remove(checkSilence) }
+  const callClosed = () => {
+    if (outgoing.size + incoming.size === 0 && !silent) silenceChecks.remove(checkSilence)
+  }
 
   const receiveCall = (stream: number, head: CallHead) => {
     const call = createIncomingCall(head, (msg) => write(stream, msg), () => {
@@ -127,10 +154,11 @@
   socket.on('close', () => close(`the connection to ${peerVm} closed`))
   return {
     peerVm,
-    openCall: (head) => {
+    openCall: (head, options) => {
       const stream = nextStream++
       const call = createOutgoingCall(head, (msg) => write(stream, msg), () => {
         outgoing.delete(stream)
+        outlivesSilence.delete(call)
         callClosed()
       })
       if (closed) {
@@ -138,6 +166,7 @@
         return call
       }
       outgoing.set(stream, call)
+      if (options?.outlivesSilence === true) outlivesSilence.add(call)
       callOpened()
       return call
     },
--- a/packages/node/src/links/links.test.ts
+++ b/packages/node/src/links/links.test.ts
@@ -1,5 +1,5 @@
 import test, { type ExecutionContext } from 'ava'
-import { connect, createServer, type AddressInfo } from 'node:net'
+import { connect, createServer, type AddressInfo, type Socket } from 'node:net'
 import { once } from 'node:events'
 import { notRun } from '@orioleslip/core'
 import { readAll } from './byte-queue.js'
@@ -165,3 +165,63 @@
   const connection = await openConnection(pair)
   t.is((await connection.openCall(head()).reply).kind, 'refused')
 })
+
+/** Starts a proxy to a peer listener that can hold back all bytes of the connections that exist at that moment. */
+async function startProxy (t: ExecutionContext, to: { host: string, port: number }) {
+  const pairs: Array<[Socket, Socket]> = []
+  let held: Array<[Socket, Socket]> = []
+  const server = createServer((near) => {
+    const far = connect(to.port, to.host)
+    near.pipe(far).pipe(near)
+    for (const socket of [near, far]) socket.on('error', () => {})
+    pairs.push([near, far])
+  }).listen(0, to.host)
+  await once(server, 'listening')
+  t.teardown(() => {
+    server.close()
+    for (const socket of pairs.flat()) socket.destroy()
+  })
+  return {
+    address: { host: to.host, port: (server.address() as AddressInfo).port },
+    hold: () => {
+      held = [...pairs]
+      for (const [near, far] of held) near.unpipe(far) && far.unpipe(near)
+    },
+    release: () => { for (const [near, far] of held) near.pipe(far).pipe(near) }
+  }
+}
+
+// Guards against work that is given up, or started again elsewhere, because a VM was silent for a while: its process was frozen or its
+// network was cut, and both ends still have the connection.
+test('a call that may not run twice outlives the silence of either end', async (t) => {
+  const incoming: IncomingCall[] = []
+  const pair = await createPeerPair(t, (call) => incoming.push(call))
+  const proxy = await startProxy(t, pair.address)
+  const found = await pair.pool.get(proxy.address)
+  const connection = 'openCall' in found ? found : found._unsafeUnwrap()
+  const unrepeatable = connection.openCall(head(), { outlivesSilence: true })
+  const repeatable = connection.openCall(head())
+  await until(() => incoming.length === 2)
+  proxy.hold()
+  t.is((await repeatable.reply).kind, 'lost')
+  t.is(connection.openCalls(), 1)
+  t.true(pair.pool.get(proxy.address) instanceof Promise, 'a new call still goes to the silent peer')
+  const replaced = await pair.pool.get(proxy.address)
+  if (!('isErr' in replaced)) return t.fail()
+  const next = replaced._unsafeUnwrap().openCall(head())
+  await until(() => incoming.length === 3)
+  incoming[2]!.refuse(notRun('overloaded', 'x'), REPORT)
+  t.is((await next.reply).kind, 'refused')
+  t.is(pair.pool.get(proxy.address), replaced._unsafeUnwrap())
+  // Longer than the silence limit of the other end, too.
+  await new Promise((resolve) => setTimeout(resolve, 1500))
+  t.false(incoming[0]!.signal.aborted)
+  proxy.release()
+  incoming[0]!.respond({ status: 200, headers: [] })
+  incoming[0]!.end(REPORT)
+  t.like(await unrepeatable.reply, { kind: 'head' })
+  t.deepEqual(await unrepeatable.finish, { kind: 'complete', report: REPORT })
+  await until(() => incoming[1]!.signal.aborted)
+  t.is(connection.openCalls(), 0)
+  t.is(pair.pool.get(proxy.address), replaced._unsafeUnwrap())
+})
--- a/packages/node/src/links/pool.ts
+++ b/packages/node/src/links/pool.ts
@@ -15,16 +15,28 @@
 export function createPeerPool (identity: LinkIdentity, onRequest: ConnectionHandlers['onRequest']): PeerPool {
   const open = new Map<string, PeerConnection>()
   const dialing = new Map<string, Promise<Result<PeerConnection, DialError>>>()
+  // Includes connections to silent peers, which get no new calls.
+  const connections = new Set<PeerConnection>()
 
   const dial = async (key: string, address: PeerAddress) => {
+    let connection: PeerConnection | undefined
+    const forget = () => { if (open.get(key) === connection) open.delete(key) }
     const res = await dialPeer(address, identity, {
       // Calls are sent only from the dialing to the listening side; one that arrives on a dialed connection is refused.
       onCall: (call) => call.refuse({ code: 'bad-request', outcome: 'not-run', detail: 'calls are accepted only on connections that the calling node opened' }, { pathLevel: 0, regionBytes: 0 }),
       onRequest,
-      onClose: () => open.delete(key)
+      onSilent: forget,
+      onClose: () => {
+        forget()
+        if (connection !== undefined) connections.delete(connection)
+      }
     })
     dialing.delete(key)
-    if (res.isOk()) open.set(key, res.value)
+    if (res.isOk()) {
+      connection = res.value
+      open.set(key, connection)
+      connections.add(connection)
+    }
     return res
   }
   const get: PeerPool['get'] = (address) => {
@@ -43,6 +55,6 @@
       const dialed = await found
       return dialed.isOk() ? dialed.value.request(kind, body, timeoutMs) : undefined
     },
-    close: () => { for (const connection of [...open.values()]) connection.close('the node is stopping') }
+    close: () => { for (const connection of [...connections]) connection.close('the node is stopping') }
   }
 }
