--- a/packages/control/src/api/cluster-init.ts
+++ b/packages/control/src/api/cluster-init.ts
@@ -38,6 +38,8 @@
     for (const group of groups) {
       if (group.log.status().members.length > 0) continue
       const res = await group.log.init()
+      // The status lags behind the log while this VM is writing the first entry that it got from another one.
+      if (res.isErr() && res.error.kind === 'exists') continue
       if (res.isErr()) return { kind: 'refused', message: `log group "${group.name}": ${res.error.message}` }
       created = true
     }
--- a/packages/control/src/replication/init.ts
+++ b/packages/control/src/replication/init.ts
@@ -7,6 +7,8 @@
 
 /** `message` names the reason and the remedy. */
 export type InitError =
+  /** This VM belongs to the group already, possibly since a moment ago. */
+  | { kind: 'exists', message: string }
   /** The group was not created. */
   | { kind: 'initRefused', message: string }
   /** The first entry is written here, but no quorum has confirmed it yet. */
@@ -15,6 +17,7 @@
 // Election timeouts to wait for the first commit; several, because VMs that have just started may not vote yet.
 const CONFIRM_ELECTIONS = 5
 
+const exists = (message: string) => err<void, InitError>({ kind: 'exists', message })
 const refuse = (message: string) => err<void, InitError>({ kind: 'initRefused', message })
 
 /**
@@ -24,7 +27,7 @@
 export async function initGroup (replica: Replica, vmIds: string[]): Promise<Result<void, InitError>> {
   const failure = failureOf(replica)
   if (replica.closed || failure !== undefined) return refuse(failure ?? 'the control process is stopping')
-  if (replica.config !== undefined || replica.store.log.lastIndex() > 0) return refuse(`group "${replica.group}" exists already on this VM; nothing to do`)
+  if (replica.config !== undefined || replica.store.log.lastIndex() > 0) return exists(`group "${replica.group}" exists already on this VM; nothing to do`)
   if (replica.initiating) return refuse('another init runs on this VM; wait for its result')
   const unknown = vmIds.find((vmId) => !replica.peers.some((peer) => peer.vmId === vmId))
   if (unknown !== undefined) return refuse(`"${unknown}" is not among the control VMs of the settings; correct the name`)
@@ -78,7 +81,7 @@
 
 async function writeFirstEntry (replica: Replica, members: Member[]): Promise<Result<void, InitError>> {
   const { store } = replica
-  if (replica.config !== undefined) return refuse('this VM has joined a group in the meantime; nothing to do')
+  if (replica.config !== undefined) return exists('this VM has joined a group in the meantime; nothing to do')
   const config: Configuration = { groupId: randomUUID(), members, excluded: [] }
   replica.term = Math.max(1, replica.term)
   if (!await saveTerm(replica)) return refuse(failureOf(replica) ?? 'the term could not be written; check the data folder')
