Let the listeners of the node's tests choose their ports

Change: listeners return their port, tests pass port 0; a refused connection uses a port below those that are chosen; one test announces its target again.

--- a/packages/node/src/calls/call-path.test.ts
+++ b/packages/node/src/calls/call-path.test.ts
@@ -4,7 +4,7 @@
 import { connect, createServer as createTcpServer, type AddressInfo, type Server, type Socket } from 'node:net'
 import type { TargetGate } from '@orioleslip/core'
 import { request } from 'undici'
-import { startNodePair, unusedPort, type NodePair, type PairOptions } from '../testing/node-pair.js'
+import { REFUSED_PORT, startNodePair, type NodePair, type PairOptions } from '../testing/node-pair.js'
 
 const CUSTOMER = { 'orioleslip-customer': 'c' }
 let keys = 0
@@ -124,7 +124,7 @@
 
 // Guards against an unknown outcome for a call that was never sent, which would keep its caller from resending it.
 test('a call whose connection the target refuses is reported as not run', async (t) => {
-  const pair = await startNodePair({ targetPort: await unusedPort() })
+  const pair = await startNodePair({ targetPort: REFUSED_PORT })
   t.teardown(pair.stop)
   const res = await call(pair, 'POST', '/shop/orders', orderHeaders(), '{}')
   t.is(res.status, 502)
@@ -134,14 +134,14 @@
 
 // Guards against a key that stays claimed although its call never reached the target, so that resends with the key are refused.
 test('the key of a call that was not sent to the target can be used again', async (t) => {
-  const port = await unusedPort()
-  const pair = await startNodePair({ targetPort: port })
+  const pair = await startNodePair({ targetPort: REFUSED_PORT })
   t.teardown(pair.stop)
   const headers = orderHeaders()
   t.is((await call(pair, 'POST', '/shop/orders', headers, '{}')).outcome, 'not-run')
-  const server = createServer((_req, res) => res.end('ran')).listen(port, '127.0.0.1')
+  const server = createServer((_req, res) => res.end('ran')).listen(0, '127.0.0.1')
   await once(server, 'listening')
   t.teardown(() => server.close())
+  pair.announceTarget((server.address() as AddressInfo).port)
   t.is((await call(pair, 'POST', '/shop/orders', headers, '{}')).text, 'ran')
 })
 
--- a/packages/node/src/links/links.test.ts
+++ b/packages/node/src/links/links.test.ts
@@ -26,24 +26,15 @@
   ...extra
 })
 
-async function unusedPort (): Promise<number> {
-  const server = createServer().listen(0, '127.0.0.1')
-  await once(server, 'listening')
-  const { port } = server.address() as AddressInfo
-  server.close()
-  await once(server, 'close')
-  return port
-}
-
 async function createPeerPair (t: ExecutionContext, onCall: (call: IncomingCall) => void, dialerKey = KEY) {
-  const address = { host: '127.0.0.1', port: await unusedPort() }
   const rejected: string[] = []
   const listener = await listenForPeers({
-    address,
+    address: { host: '127.0.0.1', port: 0 },
     identity: { fleetKey: KEY, vmId: 'b' },
     handlers: { onCall, onRequest: (kind, body) => ({ kind, body }) },
     onRejected: (_remote, message) => rejected.push(message)
   })
+  const address = { host: '127.0.0.1', port: listener.port }
   const pool = createPeerPool({ fleetKey: dialerKey, vmId: 'a' }, () => undefined)
   t.teardown(async () => {
     pool.close()
--- a/packages/node/src/links/listener.ts
+++ b/packages/node/src/links/listener.ts
@@ -7,6 +7,7 @@
 import { createHandshake } from './handshake.js'
 
 export type PeerListener = {
+  port: number
   /** Number of calls in progress on all accepted connections. */
   openCalls: () => number
   /** Stops accepting and closes the accepted connections. */
@@ -64,8 +65,9 @@
   }
 
   const server = createServer(accept)
-  await listen(server, address)
+  const port = await listen(server, address)
   return {
+    port,
     openCalls: () => [...connections].reduce((sum, connection) => sum + connection.openCalls(), 0),
     close: () => new Promise((resolve) => {
       server.close(() => resolve())
--- a/packages/node/src/server/caller-server.test.ts
+++ b/packages/node/src/server/caller-server.test.ts
@@ -1,7 +1,6 @@
 import { once } from 'node:events'
 import { Agent, request, type IncomingMessage, type ServerResponse } from 'node:http'
 import test from 'ava'
-import { unusedPort } from '../testing/node-pair.js'
 import { startCallerServer } from './caller-server.js'
 
 const host = '127.0.0.1'
@@ -17,24 +16,22 @@
 // Guards against keep-alive connections that stay open after a refusal by a stopping node: the client loses a request that it sends on one
 // while the process exits.
 test('every response of a stopping node closes its connection', async (t) => {
-  const port = await unusedPort()
   let stopping = false
   const handle = async (_req: IncomingMessage, res: ServerResponse) => {
     res.writeHead(503, ['content-length', '0'])
     res.end()
   }
-  const server = await startCallerServer({ host, port }, handle, handle, () => stopping)
+  const server = await startCallerServer({ host, port: 0 }, handle, handle, () => stopping)
   const agent = new Agent({ keepAlive: true })
-  t.is((await get(port, agent)).headers.connection, 'keep-alive')
+  t.is((await get(server.port, agent)).headers.connection, 'keep-alive')
   stopping = true
-  t.is((await get(port, agent)).headers.connection, 'close')
+  t.is((await get(server.port, agent)).headers.connection, 'close')
   agent.destroy()
   await server.drain()
 })
 
 // Guards against a request that arrives just before the stop and whose connection is closed before its response is sent.
 test('a drain completes open requests and accepts no new connections', async (t) => {
-  const port = await unusedPort()
   let arrived: () => void = () => {}
   let release: () => void = () => {}
   const atServer = new Promise<void>((resolve) => { arrived = resolve })
@@ -45,11 +42,11 @@
     res.writeHead(503, ['content-length', '0'])
     res.end()
   }
-  const server = await startCallerServer({ host, port }, handle, handle, () => true)
-  const open = get(port, new Agent({ keepAlive: true }))
+  const server = await startCallerServer({ host, port: 0 }, handle, handle, () => true)
+  const open = get(server.port, new Agent({ keepAlive: true }))
   await atServer
   const drained = server.drain()
-  const late = await get(port, new Agent()).catch((err: NodeJS.ErrnoException) => err.code)
+  const late = await get(server.port, new Agent()).catch((err: NodeJS.ErrnoException) => err.code)
   t.is(late, 'ECONNREFUSED')
   release()
   t.is((await open).statusCode, 503)
--- a/packages/node/src/server/caller-server.ts
+++ b/packages/node/src/server/caller-server.ts
@@ -5,6 +5,7 @@
 export type RequestListener = (req: IncomingMessage, res: ServerResponse) => Promise<void>
 
 export type CallerServer = {
+  port: number
   /** Stops accepting connections; resolves when the open requests have ended. */
   drain: () => Promise<void>
   /** Closes all connections immediately. */
@@ -41,8 +42,9 @@
     requestTimeout: 0,
     noDelay: true
   }, listener)
-  await listen(server, address)
+  const port = await listen(server, address)
   return {
+    port,
     drain: () => new Promise((resolve) => {
       server.close(() => resolve())
       server.closeIdleConnections()
--- a/packages/node/src/testing/node-pair.ts
+++ b/packages/node/src/testing/node-pair.ts
@@ -1,5 +1,3 @@
-import { once } from 'node:events'
-import { createServer, type AddressInfo, type Server } from 'node:net'
 import {
   createListsIndex, listsSchema, systemClock, systemRandom, type Lists, type MemberRecord, type QuotaVerdict, type RouteChoice,
   type TargetGate
@@ -27,15 +25,8 @@
 const HOST = '127.0.0.1'
 const IDENTITY_KEY = 'a-fleet-key-for-tests'
 
-/** Returns a port that was free at the time of the call. */
-export async function unusedPort (): Promise<number> {
-  const server: Server = createServer().listen(0, HOST)
-  await once(server, 'listening')
-  const { port } = server.address() as AddressInfo
-  server.close()
-  await once(server, 'close')
-  return port
-}
+/** Port of the loopback address on which nothing listens and which no listener gets by choosing a free one. */
+export const REFUSED_PORT = 1
 
 /** Default lists of a node pair: one repeatable read, one repeatable upload and one non-repeatable claim of the service "shop". */
 export function pairLists (): Lists {
@@ -76,13 +67,13 @@
     vmId, incarnation: 1, version: 1, role: 'node', host: HOST, peerPort, callerPort: 0, gossipPort: 0, region, failureDomain: region
   })
   const entry = member('entry', 'r1', 1)
-  const executorMember = member('executor', options.executorRegion ?? 'r1', await unusedPort())
   const register = createFakeRegister()
 
   const gate = options.gate ?? createTargetGate({ clock })
   const target = createLocalTarget(HOST)
   target.onStarted(gate.targetStarted)
-  target.announce({ service: 'shop', port: options.targetPort, capacity: 10, state: 'ready', instance: 'i' })
+  const announceTarget = (port: number) => { target.announce({ service: 'shop', port, capacity: 10, state: 'ready', instance: 'i' }) }
+  announceTarget(options.targetPort)
   const executorInbound = createInboundCalls(clock.nowMs)
   const executor = createExecutor({
     target,
@@ -93,11 +84,12 @@
     callRefusal: () => undefined
   })
   const listener = await listenForPeers({
-    address: { host: HOST, port: executorMember.peerPort },
+    address: { host: HOST, port: 0 },
     identity: { fleetKey: IDENTITY_KEY, vmId: 'executor' },
     handlers: { onCall: executor.execute, onRequest: () => undefined },
     onRejected: () => {}
   })
+  const executorMember = member('executor', options.executorRegion ?? 'r1', listener.port)
 
   const ledger = createRetryLedger({ clock, retryAllowance: options.retryAllowance ?? 0 })
   const pool = createPeerPool({ fleetKey: IDENTITY_KEY, vmId: 'entry' }, () => undefined)
@@ -136,11 +128,12 @@
     clock,
     stopping: () => false
   })
-  const callerPort = await unusedPort()
-  const server = await startCallerServer({ host: HOST, port: callerPort }, handler.handle, async (_req, res) => { res.end() })
+  const server = await startCallerServer({ host: HOST, port: 0 }, handler.handle, async (_req, res) => { res.end() })
   return {
-    url: `http://${HOST}:${callerPort}`,
-    callerPort,
+    url: `http://${HOST}:${server.port}`,
+    callerPort: server.port,
+    /** Announces the executor's target at another port. */
+    announceTarget,
     /** Closes the link between the two nodes; the next call opens a new one. */
     cutLink: () => pool.close(),
     stopExecutor: () => listener.close(),
