Round a node's part of the repeat budget by chance instead of down

On a site of 200 nodes with a few calls a second each node's part stays below one for good. Change: the part is rounded by chance, drawn once per window.

--- a/packages/node/src/routes/decisions.test.ts
+++ b/packages/node/src/routes/decisions.test.ts
@@ -1,15 +1,15 @@
 import test from 'ava'
-import { createFakeClock, notRun, unknownOutcome, type Refusal, type Route } from '@orioleslip/core'
+import { createFakeClock, createSeededRandom, notRun, unknownOutcome, type Refusal, type Route } from '@orioleslip/core'
 import type { FailedCall } from '../calls/forwarder.js'
 import { createDestinationChooser } from './destinations.js'
 import { createRepeatBudget } from './repeat-budget.js'
 import { priorityOfRank } from './route-priority.js'
 import { createRoutedRetries } from './routed-retries.js'
 
-const budgetOf = (nodes: number, over = {}) => {
+const budgetOf = (nodes: number, over = {}, random = createSeededRandom(1)) => {
   const clock = createFakeClock()
   const settings = { ratio: 0.2, extra: 50, windowMs: 10_000, ...over }
-  return { clock, budget: createRepeatBudget({ clock, settings, nodes: () => nodes }) }
+  return { clock, budget: createRepeatBudget({ clock, random, settings, nodes: () => nodes }) }
 }
 const takeAll = (take: () => boolean) => {
   let taken = 0
@@ -42,6 +42,21 @@
   t.is(takeAll(() => budget.take('s')), 4)
 })
 
+// Guards against nodes that never repeat a call because the part of each is less than one repeat. Load pattern: hundreds of nodes that send
+// a few calls per second each, some of which fail.
+test('the parts of many nodes with little traffic add up to the share of the fleet', (t) => {
+  const nodes = 200
+  const random = createSeededRandom(1)
+  let taken = 0
+  for (let node = 0; node < nodes; node++) {
+    const { budget } = budgetOf(nodes, { extra: 200 }, random)
+    for (let i = 0; i < 10; i++) budget.firstSent('s')
+    taken += takeAll(() => budget.take('s'))
+  }
+  const share = 0.2 * (0.2 * 10 * nodes + 200)
+  t.true(taken > 0.8 * share && taken < 1.2 * share, `${taken} of ${share}`)
+})
+
 const routeOf = (...weights: number[]): Route => ({
   name: 'r',
   host: 'h',
--- a/packages/node/src/routes/repeat-budget.ts
+++ b/packages/node/src/routes/repeat-budget.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '@orioleslip/core'
+import type { Clock, Random } from '@orioleslip/core'
 
 /** Limit on repeated sends per service, for the fleet as a whole. */
 export type RepeatBudgetSettings = {
@@ -26,15 +26,28 @@
 /** A repeated call can cause repeats at each level of the chain below it; this share per level keeps a chain of four within the ratio. */
 const LEVEL_SHARE = 0.2
 
+/** Dependencies of `createRepeatBudget`. */
+export type RepeatBudgetOptions = { clock: Clock, random: Random, settings: RepeatBudgetSettings, nodes: () => number }
+
 /**
  * Creates this node's part of the budget. Each node repeats at most a share of its own first sends plus its part of `extra`, so that the
- * sum over all nodes stays within the limit in any window without communication between them.
+ * sum over all nodes stays within the limit in any window without communication between them. A part is rarely a whole number, and at a
+ * node with little traffic it is less than one, so it is rounded by chance, drawn once per window: over the fleet the parts still add up.
  */
-export function createRepeatBudget (opts: { clock: Clock, settings: RepeatBudgetSettings, nodes: () => number }): RepeatBudget {
-  const { clock, settings, nodes } = opts
+export function createRepeatBudget (opts: RepeatBudgetOptions): RepeatBudget {
+  const { clock, random, settings, nodes } = opts
   const services = new Map<string, Slot[]>()
   const slotMs = settings.windowMs / SLOTS
 
+  let drawnWindow = -1
+  let draw = 0
+
+  const rounded = (part: number): number => {
+    const window = Math.floor(clock.nowMs() / settings.windowMs)
+    if (window !== drawnWindow) draw = random.next()
+    drawnWindow = window
+    return Math.floor(part + draw)
+  }
   const slotsOf = (service: string): Slot[] => {
     const known = services.get(service)
     if (known !== undefined) return known
@@ -60,7 +73,7 @@
         repeats += other.repeats
       }
       const allowed = LEVEL_SHARE * (settings.ratio * first + settings.extra / Math.max(1, nodes()))
-      if (repeats + 1 > allowed) return false
+      if (repeats + 1 > rounded(allowed)) return false
       slot.repeats++
       return true
     }
--- a/packages/node/src/routes/routed-node.ts
+++ b/packages/node/src/routes/routed-node.ts
@@ -101,6 +101,7 @@
   })
   const budget = createRepeatBudget({
     clock,
+    random,
     settings: { ratio: cfg.repeatBudget.ratio, extra: cfg.repeatBudget.extra, windowMs: cfg.repeatBudget.windowS * 1000 },
     nodes: members.knownCount
   })
