Hold the polls of nodes while a restarted fleet elects its leader

Change: a control process that has never confirmed its state holds a poll for up to 400 ms until it can, with one attempt every 50 ms for all held polls. Conclusion: tests of services hold.

--- a/packages/control/src/api/node-service.ts
+++ b/packages/control/src/api/node-service.ts
@@ -19,6 +19,13 @@
 // A control VM that loses its quorum replies to the polls it holds within this time, and the nodes poll another one. One confirmation
 // serves all held polls: with one for each, 770 polls out of step kept each of three control VMs at 32% of a core.
 const CONFIRM_INTERVAL_MS = 1000
+/**
+ * Longest time, in ms, for which a process that has never confirmed its state holds a poll until it can. A poll refused at once would make
+ * the node back off, and it would miss the moment at which a restarted fleet has a leader. Afterwards the node asks another control VM.
+ */
+const FIRST_CONFIRM_HOLD_MS = 400
+/** Interval of the attempts to confirm the state for the first time, in ms. */
+const FIRST_CONFIRM_INTERVAL_MS = 50
 
 /** Creates the operations that nodes call. */
 export function createNodeService<Change> (
@@ -45,6 +52,24 @@
   // True while the latest confirmation for the held polls succeeded and the next one is due within CONFIRM_INTERVAL_MS.
   let recentlyConfirmed = false
 
+  // False until the first confirmation of this process: its peers may still be starting or electing a leader.
+  let hasConfirmed = false
+  let firstConfirmation: Promise<void> | undefined
+
+  async function confirmAndNote (): ReturnType<ConfirmCurrent> {
+    const res = await confirm()
+    hasConfirmed ||= res.isOk()
+    return res
+  }
+
+  /** Resolves with the first confirmation of this process; all polls that wait for it share its attempts. */
+  function awaitFirstConfirmation (): Promise<void> {
+    firstConfirmation ??= (async () => {
+      while (!stopping.aborted && (await confirmAndNote()).isErr()) await clock.sleep(FIRST_CONFIRM_INTERVAL_MS, stopping)
+    })()
+    return firstConfirmation
+  }
+
   function wakeAll (): void {
     for (const waiter of waiters) waiter.abort()
   }
@@ -76,7 +101,12 @@
     since: async (input, signal) => {
       reports.report(input.vmId, input.revision, input.callerAddress)
       const untilMs = clock.nowMs() + Math.min(input.waitMs, MAX_HOLD_MS)
-      let current = recentlyConfirmed ? undefined : await confirm()
+      let current = recentlyConfirmed ? undefined : await confirmAndNote()
+      if (current?.isErr() === true && !hasConfirmed) {
+        const waitMs = Math.min(FIRST_CONFIRM_HOLD_MS, untilMs - clock.nowMs())
+        if (waitMs > 0) await Promise.race([awaitFirstConfirmation(), clock.sleep(waitMs, signal)])
+        current = await confirmAndNote()
+      }
       for (;;) {
         const leftMs = untilMs - clock.nowMs()
         const hasNewRevision = machine.revision() > input.revision
--- a/packages/control/src/api/services.test.ts
+++ b/packages/control/src/api/services.test.ts
@@ -58,6 +58,29 @@
   t.false((await held).confirmed)
 })
 
+// Guards against nodes that serve nothing for most of a second after a power loss of the whole fleet: their polls were refused while the
+// control VMs elected a leader, so they back off at the moment at which the routes could be confirmed.
+test('a process that has never confirmed its state holds polls for a short time until it can', async (t) => {
+  const { node, lists: log, clock: anyClock } = createServices()
+  const clock = anyClock as ReturnType<typeof createFakeClock>
+  log.current = false
+  let early: boolean | undefined
+  node.since({ vmId: 'n1', revision: -1, waitMs: 1000 }).then((reply) => { early = reply.confirmed }, () => {})
+  await clock.advance(300)
+  t.is(early, undefined)
+  await clock.advance(150)
+  t.false(early)
+  let electedMs: number | undefined
+  node.since({ vmId: 'n1', revision: -1, waitMs: 1000 }).then((reply) => { if (reply.confirmed) electedMs = clock.nowMs() }, () => {})
+  await clock.advance(200)
+  log.current = true
+  const startMs = clock.nowMs()
+  for (let i = 0; i < 10; i++) await clock.advance(10)
+  t.true(electedMs !== undefined && electedMs - startMs <= 60, String(electedMs))
+  log.current = false
+  t.false((await node.since({ vmId: 'n2', revision: -1, waitMs: 1000 })).confirmed)
+})
+
 // Guards against a stop that waits until held polls time out, and against nodes that poll the stopping process in a loop because
 // their polls end with a confirmed reply.
 test('held polls are released when the process stops', async (t) => {
