Bound the frames of a peer that has not proved to belong to the fleet

Cause: the limit of 4 MB a frame held during the handshake, too, so that a peer without the key could make a node keep 4 MB for each connection. Change: 4 KB until the handshake has ended, on both sides. Figures: the new test waits for the handshake's timeout without the change.

--- a/packages/node/src/links/connection.ts
+++ b/packages/node/src/links/connection.ts
@@ -196,8 +196,10 @@
 }
 
 /** Decodes the frames that a socket receives; `onMalformed` is called with the error if a frame can't be decoded. */
-export function readFrames (socket: Socket, onFrame: (frame: Frame) => void, onMalformed: (message: string) => void): void {
-  const decode = createFrameDecoder(onFrame)
+export function readFrames (
+  socket: Socket, onFrame: (frame: Frame) => void, onMalformed: (message: string) => void, maxFrameBytes?: () => number
+): void {
+  const decode = createFrameDecoder(onFrame, maxFrameBytes)
   socket.on('data', (chunk: Buffer) => {
     try {
       decode(chunk)
--- a/packages/node/src/links/dial.ts
+++ b/packages/node/src/links/dial.ts
@@ -2,7 +2,7 @@
 import { err, ok, type Result } from 'neverthrow'
 import type { PeerAddress } from '@orioleslip/core'
 import { createFrameWriter, createPeerConnection, readFrames, type ConnectionHandlers, type PeerConnection } from './connection.js'
-import type { Frame } from './frames.js'
+import { MAX_FRAME_BYTES, MAX_HANDSHAKE_FRAME_BYTES, type Frame } from './frames.js'
 import { createHandshake } from './handshake.js'
 
 /** Timeout of the connect and of the handshake, each, in ms; enough for several round trips between regions with 20 ms one-way latency. */
@@ -60,7 +60,7 @@
     }
     socket.on('error', (cause) => fail(cause.message))
     socket.on('close', () => fail('the peer closed the connection'))
-    readFrames(socket, onFrame, fail)
+    readFrames(socket, onFrame, fail, () => connection === undefined ? MAX_HANDSHAKE_FRAME_BYTES : MAX_FRAME_BYTES)
     write(0, handshake.hello())
   })
 }
--- a/packages/node/src/links/frames.ts
+++ b/packages/node/src/links/frames.ts
@@ -4,6 +4,8 @@
 
 /** Largest payload of a frame, in bytes; a longer one closes the connection. */
 export const MAX_FRAME_BYTES = 4 * 1024 * 1024
+/** Largest payload of a frame before the peer has proved that it belongs to the fleet, in bytes. */
+export const MAX_HANDSHAKE_FRAME_BYTES = 4096
 
 const HEADER_BYTES = 9
 const packr = new Packr({ useRecords: false, encodeUndefinedAsNil: true })
@@ -81,8 +83,8 @@
   }
 }
 
-/** Creates a decoder that splits a byte stream into frames; it throws on an unknown type or an oversized frame. */
-export function createFrameDecoder (onFrame: (frame: Frame) => void): (chunk: Buffer) => void {
+/** Creates a decoder that splits a byte stream into frames; it throws on an unknown type or a frame above the limit at that time. */
+export function createFrameDecoder (onFrame: (frame: Frame) => void, maxFrameBytes = () => MAX_FRAME_BYTES): (chunk: Buffer) => void {
   let pending: Buffer[] = []
   let pendingBytes = 0
   let neededBytes = HEADER_BYTES
@@ -95,7 +97,7 @@
         return at
       }
       const length = buf.readUInt32BE(at)
-      if (length > MAX_FRAME_BYTES) throw new Error(`frame of ${length} bytes exceeds the limit of ${MAX_FRAME_BYTES}`)
+      if (length > maxFrameBytes()) throw new Error(`frame of ${length} bytes exceeds the limit of ${maxFrameBytes()}`)
       if (buf.length - at < HEADER_BYTES + length) {
         neededBytes = HEADER_BYTES + length
         return at
--- a/packages/node/src/links/links.test.ts
+++ b/packages/node/src/links/links.test.ts
@@ -3,6 +3,7 @@
 import { once } from 'node:events'
 import { notRun } from '@orioleslip/core'
 import { readAll } from './byte-queue.js'
+import { MAX_HANDSHAKE_FRAME_BYTES } from './frames.js'
 import type { IncomingCall } from './incoming-call.js'
 import { listenForPeers } from './listener.js'
 import { STREAM_WINDOW_BYTES, type CallHead, type CallReport } from './messages.js'
@@ -157,6 +158,19 @@
   t.is((await connection.openCall(head()).reply).kind, 'refused')
 })
 
+// Guards against memory that strangers fill: without the fleet's key a peer could announce frames of megabytes on many connections.
+test('before the handshake has ended, a frame of more than a few kilobytes closes the connection', async (t) => {
+  const pair = await createPeerPair(t, () => t.fail())
+  const socket = connect(pair.address.port, '127.0.0.1')
+  const header = Buffer.alloc(9)
+  header.writeUInt32BE(MAX_HANDSHAKE_FRAME_BYTES + 1, 0)
+  header.writeUInt8(1, 4)
+  socket.write(header)
+  await once(socket, 'close')
+  t.regex(pair.rejected[0]!, /exceeds the limit of 4096/)
+  t.true(socket.bytesRead < MAX_HANDSHAKE_FRAME_BYTES)
+})
+
 /** Starts a proxy to a peer listener that can hold back all bytes of the connections that exist at that moment. */
 async function startProxy (t: ExecutionContext, to: { host: string, port: number }) {
   const pairs: Array<[Socket, Socket]> = []
--- a/packages/node/src/links/listener.ts
+++ b/packages/node/src/links/listener.ts
@@ -3,7 +3,7 @@
 import { listen } from '../net/listen.js'
 import { createFrameWriter, createPeerConnection, readFrames, type ConnectionHandlers, type PeerConnection } from './connection.js'
 import { DIAL_TIMEOUT_MS, type LinkIdentity } from './dial.js'
-import type { Frame } from './frames.js'
+import { MAX_FRAME_BYTES, MAX_HANDSHAKE_FRAME_BYTES, type Frame } from './frames.js'
 import { createHandshake } from './handshake.js'
 
 export type PeerListener = {
@@ -61,7 +61,7 @@
       clearTimeout(timer)
       sockets.delete(socket)
     })
-    readFrames(socket, onFrame, fail)
+    readFrames(socket, onFrame, fail, () => connection === undefined ? MAX_HANDSHAKE_FRAME_BYTES : MAX_FRAME_BYTES)
   }
 
   const server = createServer(accept)
