Pass a response that has arrived whole without waiting for its chunks

Cause: profile of cold nodes: a small response costs two reads by promise at each node, and a separate write and end at the client's connection. Change: the rest of a body whose end has arrived is taken at once and written with the end of the response.

--- a/packages/node/src/calls/executor.test.ts
+++ b/packages/node/src/calls/executor.test.ts
@@ -92,7 +92,7 @@
 
 // Guards against a cut-off response that is not reported on the node that observed it, since its head had already been forwarded.
 test('a response that is cut off is reported', async (t) => {
-  const body = { read: () => Promise.reject(new Error('cut')) }
+  const body = { read: () => Promise.reject(new Error('cut')), takeRest: () => undefined }
   const { refused } = await runCall({ reply: { kind: 'head', status: 200, headers: [], unframed: false, body, abort: () => {} } })
   t.like(refused[0]!.refusal, unknownOutcome('bad-answer', 'the target\'s response was cut off: cut'))
 })
--- a/packages/node/src/calls/forward-response.ts
+++ b/packages/node/src/calls/forward-response.ts
@@ -37,7 +37,13 @@
   }
 }
 
-async function pipeBody (call: IncomingCall, body: Pick<ByteQueue, 'read'>): Promise<void> {
+async function pipeBody (call: IncomingCall, body: Pick<ByteQueue, 'read' | 'takeRest'>): Promise<void> {
+  // Most responses are small and arrive whole.
+  const whole = body.takeRest()
+  if (whole !== undefined) {
+    if (whole.length > 0) await call.write(whole)
+    return
+  }
   for (;;) {
     const chunk = await body.read()
     if (chunk === undefined) return
--- a/packages/node/src/calls/response-writer.ts
+++ b/packages/node/src/calls/response-writer.ts
@@ -51,7 +51,14 @@
     res.useChunkedEncodingByDefault = false
     res.shouldKeepAlive = false
   }
-  res.writeHead(head.status, [...head.headers, ...extraHeaders])
+  res.writeHead(head.status, extraHeaders.length === 0 ? head.headers : [...head.headers, ...extraHeaders])
+  const whole = body.takeRest()
+  if (whole !== undefined) {
+    const end = await finish
+    if (end.kind === 'complete') res.end(whole)
+    else abortResponse(res, head)
+    return end
+  }
   try {
     for (;;) {
       const chunk = await body.read()
--- a/packages/node/src/links/byte-queue.ts
+++ b/packages/node/src/links/byte-queue.ts
@@ -5,6 +5,8 @@
   fail: (err: Error) => void
   /** Returns the next chunk, or undefined at the end of the body. Rejects if the body failed. */
   read: () => Promise<Uint8Array | undefined>
+  /** Takes the rest of a body whose end has arrived, without waiting; undefined if more may come or the body failed. */
+  takeRest: () => Uint8Array | undefined
   /** Number of bytes pushed and not yet read. */
   size: () => number
 }
@@ -57,6 +59,14 @@
       pendingRead = { resolve, reject }
       settle()
     }),
+    takeRest: () => {
+      if (state.kind !== 'ended') return undefined
+      const rest = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks)
+      chunks.length = 0
+      bytes = 0
+      if (rest.length > 0) onRead(rest.length)
+      return rest
+    },
     size: () => bytes
   }
 }
--- a/packages/node/src/target/target-client.ts
+++ b/packages/node/src/target/target-client.ts
@@ -27,7 +27,7 @@
     headers: string[]
     /** True if the response has no framing and ends with its connection, so that a crash of the target may have cut it off. */
     unframed: boolean
-    body: Pick<ByteQueue, 'read'>
+    body: Pick<ByteQueue, 'read' | 'takeRest'>
     /** Discards the response and closes its connection. */
     abort: () => void
   }
