Send a node's calls to other regions to few targets each, and spare late retries

Change: each node uses three targets per service in other regions, chosen by rendezvous hashing; an error response is retried while two median latencies are left.

--- a/packages/node/src/calls/forwarder.test.ts
+++ b/packages/node/src/calls/forwarder.test.ts
@@ -12,7 +12,7 @@
 })
 
 /** Creates a forwarder whose only peer is reached through `get`; every failed call may be retried if `mayRetry` says so. */
-const forwarderTo = (get: PeerPool['get'], mayRetry: MayRetry = () => false) => createForwarder({
+const forwarderTo = (get: PeerPool['get'], mayRetry: MayRetry = () => false, latencies = createLatencies(systemClock)) => createForwarder({
   self: () => member('self'),
   router: {
     pick: () => ({ kind: 'route', member: member('peer'), crossesRegion: false }),
@@ -25,7 +25,7 @@
   mayRetry,
   isErrorResponse: (status) => status === 500,
   regionBudget: { reserve: () => undefined },
-  latencies: createLatencies(systemClock),
+  latencies,
   clock: systemClock,
   onRetry: () => {},
   runLocally: () => {}
@@ -106,3 +106,15 @@
   const { forward } = forwarderTo(peer.get, ({ attempts }) => attempts < 2)
   t.like(await forward(requestWithin(1000)), { kind: 'refused', refusal: { outcome: 'unknown', code: 'bad-answer' } })
 })
+
+// Guards against load without use: the error of a request that was running out of time is answered by running it again.
+test('a call with too little time for a second run gets the error response', async (t) => {
+  const latencies = createLatencies(systemClock)
+  for (let i = 0; i < 10; i++) latencies.add('o', 600)
+  for (const { remainingMs, calls } of [{ remainingMs: 1000, calls: 1 }, { remainingMs: 2000, calls: 2 }]) {
+    const peer = scriptedPeer([(call) => respond(call, 500), (call) => respond(call, 500)])
+    const { forward } = forwarderTo(peer.get, ({ attempts }) => attempts < 2, latencies)
+    t.like(await forward(requestWithin(remainingMs)), { kind: 'answer', head: { status: 500 } })
+    t.is(peer.calls(), calls)
+  }
+})
--- a/packages/node/src/calls/forwarder.ts
+++ b/packages/node/src/calls/forwarder.ts
@@ -79,6 +79,12 @@
 /** Shortest remaining time, in ms, with which a call may go to another region: two round trips of 40 ms. */
 const MIN_CROSS_REGION_MS = 80
 
+/**
+ * A call is retried after an error response if at least this many median latencies are left. Errors that come late are most often those of
+ * a request that was running out of time, and a second run would only add load.
+ */
+const RETRY_LATENCIES = 2
+
 /** Creates the forwarder, which sends calls to targets: it picks the VM, accounts for inter-region traffic and retries failed attempts. */
 export function createForwarder (options: ForwarderOptions) {
   const { router, pool, latencies, clock } = options
@@ -173,7 +179,8 @@
           return settle('report' in finish ? finish.report : NO_REPORT, verdictOfFinish(finish))
         }
         const isError = req.op?.repeatable === true && options.isErrorResponse?.(head.status) === true
-        if (isError && await retry(unknownOutcome('bad-answer', `a target answered with status ${head.status}`), true)) {
+        const hasTime = req.deadline.remainingMs() > RETRY_LATENCIES * latencies.p50Ms(req.opKey)
+        if (isError && hasTime && await retry(unknownOutcome('bad-answer', `a target answered with status ${head.status}`), true)) {
           discardBody(body)
           call.finish.then(settleFinish)
           continue
--- a/packages/node/src/routing/router.ts
+++ b/packages/node/src/routing/router.ts
@@ -1,6 +1,7 @@
 import type { Clock, LoadReport, Member, MemberRecord, MembersView, Random, RouteChoice, Router, RouteRequest } from '@orioleslip/core'
 import { createRegionChoice } from './region-choice.js'
 import { createRegionLatencies } from './region-latencies.js'
+import { createSubset } from './subset.js'
 
 type TargetStats = {
   load: LoadReport | undefined
@@ -31,6 +32,8 @@
 // trips, so a short queue within the region is still the better choice.
 const FULL_IN_REGION = 1
 const FULL_BEFORE_CROSSING = 1.5
+// Number of targets of one service in other regions among which a call that leaves its region is distributed.
+const REMOTE_SUBSET_SIZE = 3
 const CLEANUP_EVERY_CHANGES = 1024
 // Overload usually ends within seconds; after this time calls are sent again to a target in another region that shed load.
 const SHEDDING_BACKOFF_MS = 5000
@@ -41,6 +44,7 @@
   const statsByVm = new Map<string, TargetStats>()
   const latencies = createRegionLatencies(clock)
   const chooseRegion = createRegionChoice({ self: () => members.self().region, latencies, random })
+  const remoteSubset = createSubset(() => members.self().vmId)
   let changes = 0
 
   const statsOf = (vmId: string): TargetStats => {
@@ -101,7 +105,8 @@
     const spareElsewhere = candidates.filter((record) =>
       record.region !== members.self().region && !isShedding(record) && costOf(record) < FULL_IN_REGION)
     const region = chooseRegion({ ...need, otherRegions: [...new Set(spareElsewhere.map((record) => record.region))] })
-    return region === undefined ? undefined : pickOfTwo(spareElsewhere.filter((record) => record.region === region))
+    if (region === undefined) return undefined
+    return pickOfTwo(remoteSubset(spareElsewhere.filter((record) => record.region === region), REMOTE_SUBSET_SIZE))
   }
   const choose = (candidates: MemberRecord[], { mayCrossRegion, need }: RouteRequest): MemberRecord | undefined => {
     const self = members.self()
@@ -117,7 +122,7 @@
     const elsewhere = mayCrossRegion ? candidates.filter((record) => record.region !== self.region) : []
     const unshedElsewhere = elsewhere.filter((record) => !isShedding(record))
     const spareAnywhere = spare(unshedElsewhere, FULL_IN_REGION)
-    if (spareAnywhere.length > 0) return pickOfTwo(spareAnywhere)
+    if (spareAnywhere.length > 0) return pickOfTwo(remoteSubset(spareAnywhere, REMOTE_SUBSET_SIZE))
     const inOtherDomains = inRegion.filter((record) => record.failureDomain !== self.failureDomain)
     return pickFromFullTiers([nearby, inOtherDomains, unshedElsewhere]) ?? pickFromFullTiers([elsewhere])
   }
