--- a/packages/node/src/routing/subset.test.ts
+++ b/packages/node/src/routing/subset.test.ts
@@ -5,8 +5,8 @@
 const NODES = 195
 const TARGETS = 23
 const SIZE = 3
-const targets = Array.from({ length: TARGETS }, (_, i) => ({ vmId: `sidecar-egil-a-${i}` }) as MemberRecord)
-const subsetOf = (node: number, candidates = targets) => createSubset(() => `sidecar-akur-b-${node}`)(candidates, SIZE).map(({ vmId }) => vmId)
+const targets = Array.from({ length: TARGETS }, (_, i) => ({ vmId: `listings-egil-a-${i}` }) as MemberRecord)
+const subsetOf = (node: number, candidates = targets) => createSubset(() => `members-akur-b-${node}`)(candidates, SIZE).map(({ vmId }) => vmId)
 
 // Guards against a link to almost every target of another region, and against a few targets that get the calls of all nodes. Load pattern:
 // two hundred nodes, each of which sends a few calls to another region.
