Try for a first confirmation only while a poll waits for it

Cause: read-through: the attempts of a control process that never gets a quorum would have gone on every 50 ms without a poll that waits. Change: they end with the hold; the next poll starts them again.

--- a/packages/control/src/api/node-service.ts
+++ b/packages/control/src/api/node-service.ts
@@ -62,14 +62,19 @@
     return res
   }
 
-  /** Resolves with the first confirmation of this process; all polls that wait for it share its attempts. */
+  /** Resolves with the first confirmation of this process or after the hold; all polls that wait for it share its attempts. */
   function awaitFirstConfirmation (): Promise<void> {
-    firstConfirmation ??= (async () => {
-      while (!stopping.aborted && (await confirmAndNote()).isErr()) await clock.sleep(FIRST_CONFIRM_INTERVAL_MS, stopping)
-    })()
+    firstConfirmation ??= tryToConfirm().finally(() => { firstConfirmation = undefined })
     return firstConfirmation
   }
 
+  async function tryToConfirm (): Promise<void> {
+    const endMs = clock.nowMs() + FIRST_CONFIRM_HOLD_MS
+    while (!stopping.aborted && clock.nowMs() < endMs && (await confirmAndNote()).isErr()) {
+      await clock.sleep(FIRST_CONFIRM_INTERVAL_MS, stopping)
+    }
+  }
+
   function wakeAll (): void {
     for (const waiter of waiters) waiter.abort()
   }
