--- a/packages/core/src/interfaces/routing.ts
+++ b/packages/core/src/interfaces/routing.ts
@@ -11,7 +11,7 @@
   exclude: ReadonlySet<string>
   /** False keeps the call in its region, as for retries, operations without inter-region volume and short deadlines. */
   mayCrossRegion: boolean
-  /** Operation and the time within which its answer is useful, in ms; without them a call leaves its region only when that is full. */
+  /** Operation and the time until its deadline, in ms; without them a call leaves its region only when that is full. */
   need?: { opKey: string, availableMs: number }
 }
 
--- a/packages/node/src/calls/forwarder.test.ts
+++ b/packages/node/src/calls/forwarder.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { notRun, systemClock, unknownOutcome, type MemberRecord, type Operation, type Refusal } from '@orioleslip/core'
+import { notRun, systemClock, unknownOutcome, type MemberRecord, type Operation, type Refusal, type RouteRequest } from '@orioleslip/core'
 import { createLatencies } from '../limits/latencies.js'
 import type { PeerConnection } from '../links/connection.js'
 import { createOutgoingCall, type OutgoingCall } from '../links/outgoing-call.js'
@@ -12,10 +12,13 @@
 })
 
 /** Creates a forwarder whose only peer is reached through `get`; every failed call may be retried if `mayRetry` says so. */
-const forwarderTo = (get: PeerPool['get'], mayRetry: MayRetry = () => false, latencies = createLatencies(systemClock)) => createForwarder({
+const forwarderTo = (get: PeerPool['get'], mayRetry: MayRetry = () => false, latencies = createLatencies(systemClock), picks: RouteRequest[] = []) => createForwarder({
   self: () => member('self'),
   router: {
-    pick: () => ({ kind: 'route', member: member('peer'), crossesRegion: false }),
+    pick: (req) => {
+      picks.push(req)
+      return { kind: 'route', member: member('peer'), crossesRegion: false }
+    },
     recordLoad: () => {},
     callSent: () => {},
     callEnded: () => {},
@@ -118,3 +121,13 @@
     t.is(peer.calls(), calls)
   }
 })
+
+// Guards against inter-region traffic that costs more than the request is worth: a large upload that leaves its region to be faster.
+test('a call with a large body leaves its region only when that is full', async (t) => {
+  const picks: RouteRequest[] = []
+  const peer = scriptedPeer([1, 2, 3].map(() => (call: OutgoingCall) => respond(call, 200)))
+  const { forward } = forwarderTo(peer.get, undefined, undefined, picks)
+  for (const bytes of [100, 60_000]) await forward({ ...requestWithin(1000), body: { kind: 'buffered', bytes: new Uint8Array(bytes) } })
+  await forward({ ...requestWithin(1000), body: { kind: 'stream', read: async () => undefined } })
+  t.deepEqual(picks.map(({ need }) => need !== undefined), [true, false, false])
+})
--- a/packages/node/src/calls/forwarder.ts
+++ b/packages/node/src/calls/forwarder.ts
@@ -28,8 +28,6 @@
   body: RequestBody
   deadline: CallDeadline
   traceFlags: string
-  /** Time within which an answer has its full use, in ms; absent if it has it until the deadline. */
-  targetLatencyMs?: number
   /** Idempotency key of a non-repeatable call, claimed by the executor; each attempt gets a token of its own. */
   claimKey: string | undefined
 }
@@ -79,6 +77,8 @@
 /** Shortest remaining time, in ms, with which a call may go to another region: two round trips of 40 ms. */
 const MIN_CROSS_REGION_MS = 80
 
+/** Largest body, in bytes, of a call that leaves its region because it may miss its deadline: inter-region traffic is paid by the byte. */
+const MAX_LEAVING_BODY_BYTES = 16 * 1024
 /**
  * A call is retried after an error response if at least this many median latencies are left. Errors that come late are most often those of
  * a request that was running out of time, and a second run would only add load.
@@ -145,7 +145,8 @@
     for (;;) {
       const volume = reserveVolume(req, attempts.length)
       const mayCrossRegion = options.allowCrossRegion === true || volume !== undefined
-      const choice = router.pick({ service: req.service, exclude: tried, mayCrossRegion, need: needOf(req) })
+      const need = needOf(req)
+      const choice = router.pick({ service: req.service, exclude: tried, mayCrossRegion, ...(need === undefined ? {} : { need }) })
       if (choice.kind === 'none') {
         volume?.settle(0)
         return refused(failure ?? refusalForNoRoute(req.service, choice.reason))
@@ -241,9 +242,10 @@
   }
 }
 
-/** Operation of a call and the time within which its answer is useful. */
-function needOf ({ opKey, deadline, targetLatencyMs = Infinity }: ForwardRequest): { opKey: string, availableMs: number } {
-  return { opKey, availableMs: Math.min(deadline.remainingMs(), targetLatencyMs) }
+/** Operation and remaining time of a call; undefined if its body is too large to leave the region while targets there have free slots. */
+function needOf (req: ForwardRequest): { opKey: string, availableMs: number } | undefined {
+  if ((bodyBytes(req.body) ?? Infinity) > MAX_LEAVING_BODY_BYTES) return undefined
+  return { opKey: req.opKey, availableMs: req.deadline.remainingMs() }
 }
 
 /** Number of bytes that a call moved between regions. */
--- a/packages/node/src/routes/route-handler.ts
+++ b/packages/node/src/routes/route-handler.ts
@@ -108,7 +108,6 @@
       body,
       deadline,
       traceFlags: '00',
-      targetLatencyMs: route.targetLatencyMs,
       claimKey: undefined
     })
   }
--- a/packages/node/src/routing/region-choice.ts
+++ b/packages/node/src/routing/region-choice.ts
@@ -4,7 +4,7 @@
 /** A call for which a target has been found in this node's region. */
 export type RegionQuestion = {
   opKey: string
-  /** Time within which the answer is useful to the caller, in ms. */
+  /** Time left until the deadline of the call, in ms. */
   availableMs: number
   /** Other regions that have a target with free slots. */
   otherRegions: readonly string[]
