Give extra copies only to changes that end work

Change: urgent are targets that start, leave or are gone, and members that have left; a target that becomes ready gets the copies of other changes.

--- a/packages/node/src/members/members.ts
+++ b/packages/node/src/members/members.ts
@@ -1,4 +1,4 @@
-import { createCanceller, type Clock, type MemberRecord, type MembersView, type Random, type TargetRecord } from '@orioleslip/core'
+import { createCanceller, type Clock, type Member, type MemberRecord, type MembersView, type Random, type TargetRecord } from '@orioleslip/core'
 import { createChannel } from './channel.js'
 import type { ChannelStats } from './channel.js'
 import { decodeMessage, updatesOf } from './message.js'
@@ -55,6 +55,16 @@
   return { ...record, incarnation: Math.floor(clock.wallMs()), version: 0 }
 }
 
+/**
+ * True if calls to the target must stop. A target that becomes ready is not urgent: a member that learns of it late only sends it no calls
+ * yet, and at the start of a fleet the extra copies of hundreds of such changes would be most of the traffic.
+ */
+function endsWork (previous: MemberRecord | undefined, { record, liveness }: Member): boolean {
+  if (liveness === 'left') return true
+  const state = record.target?.state
+  return state !== undefined && state !== 'ready' && state !== previous?.target?.state
+}
+
 /** Creates the membership over a UDP socket; `start` joins the fleet. */
 export function createMembers (options: MembersOptions): Members {
   const { self, seeds, fleetKey, clock, random, log, socket } = options
@@ -93,8 +103,7 @@
     if (host === self.host && port === self.gossipPort) table.raiseLiveness(vmId, 'failed')
     if (previous?.liveness === 'failed' && now.liveness === 'alive') log.info({ event: 'member', vmId, state: 'alive' }, 'failed member is alive again')
     if (disseminate) {
-      const urgent = previous?.record.target?.state !== now.record.target?.state || now.liveness === 'left'
-      dissemination.add(vmId, { full: update.record !== undefined, urgent })
+      dissemination.add(vmId, { full: update.record !== undefined, urgent: endsWork(previous?.record, now) })
     }
     return true
   }
