Look at the targets of other regions only for calls at risk

Cause: read-through: for every call the router rated all targets of the other regions, dozens on a large site, although only a call that may miss its deadline in its region needs them. Change: the decision asks for the other regions once it knows of the risk; the order of its random draws is as before. Conclusion: no decision changes.

--- a/packages/node/src/routing/region-choice.test.ts
+++ b/packages/node/src/routing/region-choice.test.ts
@@ -13,7 +13,7 @@
   const shareLeaving = (availableMs: number, otherRegions = ['east', 'west'], opKey = 'op') => {
     const leaving: Record<string, number> = {}
     for (let i = 0; i < CALLS; i++) {
-      const region = choose({ opKey, availableMs, otherRegions })
+      const region = choose({ opKey, availableMs, otherRegions: () => otherRegions })
       if (region !== undefined) leaving[region] = (leaving[region] ?? 0) + 1 / CALLS
     }
     return leaving
--- a/packages/node/src/routing/region-choice.ts
+++ b/packages/node/src/routing/region-choice.ts
@@ -6,8 +6,8 @@
   opKey: string
   /** Time left until the deadline of the call, in ms. */
   availableMs: number
-  /** Other regions that have a target with free slots. */
-  otherRegions: readonly string[]
+  /** Returns the other regions that have a target with free slots; called only for a call that is at risk. */
+  otherRegions: () => readonly string[]
 }
 
 /** Decides whether a call leaves its region; returns the region to send it to, or undefined to keep it. */
@@ -28,11 +28,13 @@
 /** Creates the decision for the calls of a node in the region `self`. */
 export function createRegionChoice (opts: { self: () => string, latencies: RegionLatencies, random: Random }): RegionChoice {
   const { self, latencies, random } = opts
-  return ({ opKey, availableMs, otherRegions }) => {
+  return ({ opKey, availableMs, otherRegions: findOtherRegions }) => {
     const localMs = latencies.meanMs(self(), opKey)
-    if (localMs === undefined || otherRegions.length === 0) return undefined
+    if (localMs === undefined) return undefined
     const risk = localMs * RISK_LATENCIES / Math.max(1, availableMs) - 1
     if (risk <= 0) return undefined
+    const otherRegions = findOtherRegions()
+    if (otherRegions.length === 0) return undefined
     const draw = random.next()
     const unknown = otherRegions.filter((region) => latencies.meanMs(region, opKey) === undefined)
     if (unknown.length > 0 && draw < EXPLORING_SHARE) return unknown[random.int(unknown.length)]
--- a/packages/node/src/routing/router.ts
+++ b/packages/node/src/routing/router.ts
@@ -102,9 +102,13 @@
   /** Picks a target in another region for a call that is at risk of missing its time in this one. */
   const pickFasterRegion = (candidates: MemberRecord[], need: RouteRequest['need']): MemberRecord | undefined => {
     if (need === undefined) return undefined
-    const spareElsewhere = candidates.filter((record) =>
-      record.region !== members.self().region && !isShedding(record) && costOf(record) < FULL_IN_REGION)
-    const region = chooseRegion({ ...need, otherRegions: [...new Set(spareElsewhere.map((record) => record.region))] })
+    let spareElsewhere: MemberRecord[] = []
+    const otherRegions = () => {
+      spareElsewhere = candidates.filter((record) =>
+        record.region !== members.self().region && !isShedding(record) && costOf(record) < FULL_IN_REGION)
+      return [...new Set(spareElsewhere.map((record) => record.region))]
+    }
+    const region = chooseRegion({ ...need, otherRegions })
     if (region === undefined) return undefined
     return pickOfTwo(remoteSubset(spareElsewhere.filter((record) => record.region === region), REMOTE_SUBSET_SIZE))
   }
