Log the rate limits that targets name, and the calls they get meanwhile

The header names stand in the adapter; the executor reads them from each response and a log line 'target-rate-limit' is written when a limit begins, ends or can't be read, and once a second while it is named. No decision depends on it yet.

--- a/packages/node/src/calls/executor.ts
+++ b/packages/node/src/calls/executor.ts
@@ -13,6 +13,7 @@
 import { receiveTargetBody } from './target-body.js'
 import type { GuardedRun, IdempotencyGuard } from '../idempotency/idempotency-guard.js'
 import { HASHED_BODY_LIMIT_BYTES, requestHashOf } from '../idempotency/request-hash.js'
+import type { TargetNotices } from '../routes/target-notices.js'
 
 export type ExecutorOptions = {
   target: LocalTarget
@@ -28,6 +29,12 @@
   isForeignResponse?: (call: IncomingCall, headers: readonly string[]) => boolean
   /** Refusal for a response that says that the target did not run the call; undefined otherwise. */
   checkResponse?: (call: IncomingCall, reply: Pick<TargetHead, 'status' | 'headers'>) => Refusal | undefined
+  /** Reads what the target says of itself in a response; nothing by default. */
+  readNotices?: (headers: readonly string[]) => TargetNotices
+  /** Called for each call that is sent to the target. */
+  onSent?: () => void
+  /** Called for each response, with the target process to which the call was sent. */
+  onNotices?: (announcement: Announcement, notices: TargetNotices) => void
   /** Called for each call refused here, with the load that the decision was based on. */
   onRefused?: (call: IncomingCall, refusal: Refusal, report: CallReport) => void
 }
@@ -41,7 +48,7 @@
 export function createExecutor (options: ExecutorOptions) {
   const { target, gate, inbound, guard, clock } = options
   const { targetHeaders = defaultTargetHeaders, isForeignResponse = () => false } = options
-  const { checkResponse = () => undefined, onRefused = () => {} } = options
+  const { checkResponse = () => undefined, onRefused = () => {}, readNotices, onSent = () => {}, onNotices = () => {} } = options
 
   const reportOf = (call: InboundCall): CallReport => {
     const load = gate.load()
@@ -120,6 +127,7 @@
     }
     const startedMs = clock.nowMs()
     const latencyMs = () => clock.nowMs() - startedMs
+    onSent()
     const reply = await current.client.run({
       method: head.method,
       path: head.path,
@@ -134,6 +142,7 @@
       return refuseCall(call, refusal, { ...reportOf(self), reachedTarget: true })
     }
     if (reply.kind === 'failed') return finishFailed({ call, deadline, self, permit, guardedRun, latencyMs, reply })
+    if (readNotices !== undefined) onNotices(current.announcement, readNotices(reply.headers))
     const rejection = checkResponse(call, reply)
     if (rejection !== undefined) {
       reply.abort()
--- a/packages/node/src/routes/routed-node.ts
+++ b/packages/node/src/routes/routed-node.ts
@@ -12,6 +12,7 @@
 import type { IdempotencyGuard } from '../idempotency/idempotency-guard.js'
 import { createAnnouncedLimit } from '../limits/announced-limit.js'
 import { createLatencies } from '../limits/latencies.js'
+import { createRateLimitLog } from '../limits/rate-limit-log.js'
 import type { IncomingCall } from '../links/incoming-call.js'
 import { listenForPeers } from '../links/listener.js'
 import type { CallReport } from '../links/messages.js'
@@ -30,12 +31,15 @@
 import { createRouteHandler, type RequestSummary } from './route-handler.js'
 import { createRoutedRetries } from './routed-retries.js'
 import { createRoutesPoller } from './routes-poller.js'
+import { createNoticeReader, type NoticeHeaderNames } from './target-notices.js'
 
 /** Dependencies and deployment settings of `startRoutedNode`. */
 export type RoutedNodeDeps = {
   log: Logger
   /** Header names of this deployment. */
   names: CallHeaderNames
+  /** Names of the headers in which the targets of this deployment say something of themselves. */
+  notices: NoticeHeaderNames
   /** Service of the local target. */
   callerService: string
   metrics?: MetricsSink
@@ -79,6 +83,7 @@
   target.onStarted(gate.targetStarted)
   const watch = createTargetWatch({ clock, log, publish: (record) => members.announceTarget(record), silenceMs: cfg.targetSilenceMs })
   const pool = createPeerPool({ fleetKey, vmId: vm.id }, () => undefined)
+  const rateLimitLog = createRateLimitLog({ clock, log })
   const executor = createExecutor({
     target,
     gate,
@@ -91,6 +96,9 @@
     targetHeaders: createRoutedTargetHeaders(names),
     isForeignResponse: createForeignResponseTest(names),
     checkResponse: createResponseCheck(names),
+    readNotices: createNoticeReader(deps.notices),
+    onSent: rateLimitLog.sent,
+    onNotices: ({ instance }, { rateLimit }) => rateLimitLog.noticed(instance, rateLimit),
     onRefused: (call, refusal, report) => logRefusedCall(log, call, refusal, report)
   })
   const listener = await listenForPeers({
