Add a failing test of a target that names a rate limit

A target that names 17.8 calls a second in each response is offered 42 a second for 10 s. The refused calls must be reported as not run, and the target must get nine tenths of what it names.

--- a/packages/node/src/calls/executor.test.ts
+++ b/packages/node/src/calls/executor.test.ts
@@ -4,6 +4,7 @@
 import { createIncomingCall } from '../links/incoming-call.js'
 import type { CallHead, CallReport, StreamMessage } from '../links/messages.js'
 import { createAnnouncedLimit } from '../limits/announced-limit.js'
+import { createNoticeReader } from '../routes/target-notices.js'
 import type { LocalTarget } from '../target/local-target.js'
 import type { TargetClient, TargetReply } from '../target/target-client.js'
 import { createExecutor } from './executor.js'
@@ -43,6 +44,7 @@
     inbound: createInboundCalls(clock.nowMs),
     guard: { begin: () => Promise.reject(new Error('no call of this test has a key')) },
     callRefusal: () => callRefusal,
+    readNotices: createNoticeReader({ rateLimit: 'x-limit', leaving: 'x-leaving' }),
     onRefused: (call, refusal, report) => refused.push({ requestId: call.head.root.requestId, refusal, report })
   })
   return { clock, gate, refused, executor }
@@ -134,3 +136,37 @@
     t.is(gate.load().inFlight, 0)
   }
 })
+
+/** Sends `perSecond` calls a second for `seconds` to a target that names a rate limit in each response; returns the times of the calls sent. */
+async function sendToLimited ({ perSecond, seconds, limit }: { perSecond: number, seconds: number, limit: string }) {
+  const sentMs: number[] = []
+  const serviceMs = 60
+  const run: TargetClient['run'] = async () => {
+    sentMs.push(clock.nowMs())
+    await clock.sleep(serviceMs)
+    const body = { read: async () => undefined, takeRest: () => undefined }
+    return { kind: 'head', status: 200, headers: ['x-limit', limit], unframed: false, body, abort: () => {} }
+  }
+  const { clock, gate, refused, executor } = createFixture({ run, slots: 100 })
+  for (let i = 0; i < perSecond * seconds; i++) {
+    executor.execute(createIncomingCall(createHead(), () => {}, () => {}))
+    await clock.advance(1000 / perSecond)
+    gate.tick()
+  }
+  return { sentMs, refused }
+}
+
+/** Largest number of times within `windowMs`, of those at `fromMs` or later. */
+function mostWithin (times: readonly number[], windowMs: number, fromMs: number): number {
+  const late = times.filter((time) => time >= fromMs)
+  return Math.max(0, ...late.map((start) => late.filter((time) => time >= start && time <= start + windowMs).length))
+}
+
+// Guards against a target that gets all calls routed to it although it names in its responses how many a second it accepts.
+test('a target that names a rate limit gets no more calls than that, and the others are refused as not run', async (t) => {
+  const { sentMs, refused } = await sendToLimited({ perSecond: 42, seconds: 10, limit: '17.8' })
+  t.true(mostWithin(sentMs, 4000, 3000) <= 1.5 * 17.8 * 4 + 5, `${mostWithin(sentMs, 4000, 3000)} calls in 4 s`)
+  t.true(sentMs.filter((time) => time >= 3000).length >= 0.9 * 17.8 * 7)
+  t.true(refused.length > 0)
+  t.true(refused.every(({ refusal, report }) => refusal.outcome === 'not-run' && report.reachedTarget !== true))
+})
