Keep the calls to a target within the rate limit that it names

What callers saw: nothing yet. A target in need that named a rate limit went on getting two to five times as many calls, so that it would have failed in earnest.

Cause: the limit of a target was only its announced number of slots. Responses were forwarded with the header, and nothing in the node read what a target says of itself in its responses. Class of fault: a signal of the target in the data path that is passed on and not acted on.

Change: the gate in front of the target, which all calls to it pass, sends a call when a slot is free and the named rate has a permit. Waiting calls are short and ordered by priority; the others are refused as not run, with spread return times, and go to the next target outside the repeat budget. Load reports carry the rate and the demand for it, and routers count a fully asked target as full. Why this works: no call reaches a target past its node, so one count holds for the whole fleet, whatever entries know, while they restart or are cut off.

--- a/packages/core/src/http/headers.ts
+++ b/packages/core/src/http/headers.ts
@@ -6,7 +6,9 @@
   requestId: 'orioleslip-request-id',
   idempotencyKey: 'idempotency-key',
   traceparent: 'traceparent',
-  retryAfter: 'retry-after'
+  retryAfter: 'retry-after',
+  rateLimit: 'orioleslip-rate-limit',
+  leaving: 'orioleslip-leaving'
 } as const
 
 /** Path prefix of the node's own endpoints on the caller listener (RFC 8615). */
--- a/packages/core/src/interfaces/admission.ts
+++ b/packages/core/src/interfaces/admission.ts
@@ -40,6 +40,14 @@
 
 export type GateResult = { kind: 'permit', permit: Permit } | { kind: 'refused', refusal: Refusal }
 
+/** Rate that a target names in its responses, and how much of it is asked for. */
+export type RateLoad = {
+  /** Calls per second that the target gets. */
+  perSecond: number
+  /** Calls that arrive, those that are refused included, as a multiple of `perSecond`. */
+  load: number
+}
+
 /** Load of a target as reported to other nodes with each response. */
 export type LoadReport = {
   /** Admission level of this node, 0 to 255. */
@@ -48,14 +56,18 @@
   queued: number
   /** Current concurrency limit. */
   limit: number
+  /** Absent if the target names no rate. */
+  rate?: RateLoad
 }
 
-/** Queue and concurrency limit in front of the target. */
+/** Queue, concurrency limit and rate limit in front of the target. */
 export type TargetGate = {
   enter: (req: GateRequest) => Promise<GateResult>
   load: () => LoadReport
-  /** Sets the announced capacity and restarts the ramp-up of the limit when the target has (re)started. */
-  targetStarted: (capacity: number) => void
+  /** Sets the announced capacity and restarts the ramp-up of the limit; what another process named is forgotten. */
+  targetStarted: (capacity: number, sameProcess?: boolean) => void
+  /** Sets the rate that the target names, in calls per second; undefined when it names none. */
+  setRateLimit: (perSecond: number | undefined) => void
   /** Recomputes the admission level; the owner calls it every `LEVEL_INTERVAL_MS` while the gate is under pressure. */
   tick: () => void
   /** True while calls are queued, have been dropped since the last tick, or are refused at the entry nodes. */
--- a/packages/lab/src/scenarios/gates.ts
+++ b/packages/lab/src/scenarios/gates.ts
@@ -17,7 +17,7 @@
       getJson<{ load: LoadReport }>(`${vm.url}/.well-known/orioleslip/state`).catch(() => undefined)))
     const loads = states.flatMap((state) => state === undefined ? [] : [state.load])
     if (loads.length === 0) return
-    const mean = (field: keyof LoadReport) => Math.round(loads.reduce((sum, load) => sum + load[field], 0) / loads.length * 10) / 10
+    const mean = (field: 'level' | 'limit' | 'inFlight' | 'queued') => Math.round(loads.reduce((sum, load) => sum + load[field], 0) / loads.length * 10) / 10
     samples.push({ atMs, service, level: mean('level'), limit: mean('limit'), inFlight: mean('inFlight'), queued: mean('queued') })
   }
   const timer = setInterval(() => { for (const service of services) sample(service).catch(() => undefined) }, INTERVAL_MS)
--- a/packages/node/src/admission/pass-through.ts
+++ b/packages/node/src/admission/pass-through.ts
@@ -33,6 +33,7 @@
     },
     load: (): LoadReport => ({ level: 0, inFlight, queued: 0, limit: capacity }),
     targetStarted: (announced) => { capacity = announced },
+    setRateLimit: () => {},
     tick: () => {},
     underPressure: () => false,
     onPressure: () => {}
--- a/packages/node/src/admission/target-gate.test.ts
+++ b/packages/node/src/admission/target-gate.test.ts
@@ -171,3 +171,48 @@
   t.false(gate.underPressure())
   t.is(gate.load().level, 0)
 })
+
+// Guards against a rate limit that is used up by calls of low priority while calls of high priority are refused.
+test('a rate limit goes to the calls of the highest priority, and the others are refused as not run with spread return times', async (t) => {
+  const { clock, gate, enter } = await createGate(100)
+  gate.setRateLimit(20)
+  const results: Array<{ priority: number, result: GateResult }> = []
+  for (let i = 0; i < 400; i++) {
+    const priority = i % 4 === 0 ? 150 : 10
+    enter({ priority }).done.then((result) => {
+      results.push({ priority, result })
+      release(result)
+    }, () => {})
+    await clock.advance(10)
+    if (i % 10 === 0) gate.tick()
+  }
+  const permitsOf = (priority: number) => results.filter((each) => each.priority === priority && each.result.kind === 'permit').length
+  t.true(permitsOf(150) + permitsOf(10) <= 20 * 4 + 5)
+  t.true(permitsOf(150) >= 0.8 * (20 * 4), `${permitsOf(150)} of high, ${permitsOf(10)} of low priority`)
+  const refusals = results.flatMap(({ result }) => result.kind === 'refused' ? [result.refusal] : [])
+  t.true(refusals.every(({ outcome, code }) => outcome === 'not-run' && code === 'overloaded'))
+  t.true(new Set(refusals.map(({ retryAfterS }) => retryAfterS)).size > 10)
+})
+
+// Guards against calls that wait seconds for their turn at a target with a low rate, when another target could take them at once.
+test('few calls wait at a target with a rate limit, however many slots it has', async (t) => {
+  const { clock, gate, enter } = await createGate(100)
+  gate.setRateLimit(20)
+  for (let i = 0; i < 50; i++) enter()
+  await clock.advance(0)
+  t.true(gate.load().queued <= 2)
+  t.is(gate.load().rate?.perSecond, 20)
+  gate.setRateLimit(undefined)
+  await clock.advance(0)
+  t.deepEqual([gate.load().queued, gate.load().rate], [0, undefined])
+})
+
+// Guards against a limit that outlives the process that named it, or that ends when the process announces another capacity.
+test('a rate limit is kept for the same process and forgotten for another', async (t) => {
+  const { gate } = await createGate(100)
+  gate.setRateLimit(20)
+  gate.targetStarted(50, true)
+  t.is(gate.load().rate?.perSecond, 20)
+  gate.targetStarted(50)
+  t.is(gate.load().rate, undefined)
+})
--- a/packages/node/src/admission/target-gate.ts
+++ b/packages/node/src/admission/target-gate.ts
@@ -2,6 +2,8 @@
 import type { CallEnd, Clock, GateRequest, GateResult, Permit, Refusal, TargetGate } from '@orioleslip/core'
 import { createConcurrencyLimit, type ConcurrencyLimit } from '../limits/concurrency-limit.js'
 import { createLatencies } from '../limits/latencies.js'
+import { createReturnTimes } from '../limits/return-times.js'
+import { createTargetRate } from '../limits/target-rate.js'
 import { createAdmissionLevel } from './admission-level.js'
 import { createPriorityQueue } from './priority-queue.js'
 
@@ -19,10 +21,15 @@
 
 const refused = (refusal: Refusal): GateResult => ({ kind: 'refused', refusal })
 
-/** Creates the gate in front of the local target: a priority queue, a concurrency limit and the admission level computed from both. */
+/**
+ * Creates the gate in front of the local target: a priority queue, a concurrency limit, the rate limit that the target names, and the
+ * admission level computed from them.
+ */
 export function createTargetGate (opts: { clock: Clock, limiter?: ConcurrencyLimit }): TargetGate {
   const { clock, limiter = createConcurrencyLimit(opts.clock) } = opts
   const latencies = createLatencies(clock)
+  const rate = createTargetRate(clock)
+  const returnTimes = createReturnTimes(clock)
   const level = createAdmissionLevel()
   const queue = createPriorityQueue<Waiter>()
   let inFlight = 0
@@ -50,6 +57,7 @@
   const issuePermit = (opKey: string): Permit => {
     inFlight++
     dispatched++
+    rate.sent()
     const dispatch = limiter.dispatched(opKey, inFlight >= limiter.limit())
     let released = false
     return {
@@ -57,6 +65,7 @@
         if (released) return
         released = true
         inFlight--
+        if (end.kind === 'notSent') rate.notSent()
         limiter.ended(dispatch, end)
         recordLatency(opKey, end)
         dispatchQueued()
@@ -64,8 +73,10 @@
     }
   }
 
+  const hasRoom = (): boolean => inFlight < limiter.limit() && rate.isOpen()
+
   const dispatchQueued = (): void => {
-    while (inFlight < limiter.limit()) {
+    while (queue.size() > 0 && hasRoom()) {
       const waiter = queue.shift()
       if (waiter === undefined) return
       const remainingMs = waiter.dueMs - clock.nowMs()
@@ -78,12 +89,24 @@
     }
   }
 
+  const queueBound = (): number => {
+    const bound = Math.max(MIN_QUEUE, limiter.limit() * Math.max(1, QUEUE_MS / Math.max(1, serviceMs)))
+    return Math.min(bound, rate.queueBound() ?? Infinity)
+  }
+
+  const overloadRefusal = (): GateResult => {
+    const named = rate.load()
+    if (named === undefined) return refused(notRun('overloaded', 'the queue in front of the target is full of calls of higher priority', 1))
+    const detail = `the target accepts ${named.perSecond} calls per second, and calls of higher priority wait`
+    return refused(notRun('overloaded', detail, returnTimes(named.perSecond)))
+  }
+
   const dropLowest = (): void => {
     const lowest = queue.findLowest((waiter) => !bodyStarted(waiter.req))
     if (lowest === undefined) return
     queue.remove(lowest)
     dropped++
-    lowest.value.settle(refused(notRun('overloaded', 'the queue in front of the target is full of calls of higher priority', 1)))
+    lowest.value.settle(overloadRefusal())
   }
 
   const enqueue = (req: GateRequest): Promise<GateResult> => new Promise((resolve) => {
@@ -101,7 +124,7 @@
     const node = queue.push(req.priority, waiter)
     req.signal.addEventListener('abort', onAbort, { once: true })
     onPressure()
-    if (queue.size() > Math.max(MIN_QUEUE, limiter.limit() * Math.max(1, QUEUE_MS / Math.max(1, serviceMs)))) dropLowest()
+    if (queue.size() > queueBound()) dropLowest()
   })
 
   const tick = (): void => {
@@ -117,7 +140,7 @@
       dispatched,
       dropped,
       queued: queue.size(),
-      utilization: Math.min(1, inFlight / Math.max(1, limiter.limit())),
+      utilization: Math.min(1, Math.max(inFlight / Math.max(1, limiter.limit()), rate.load()?.load ?? 0)),
       serviceMs
     }, nowMs > lastTickMs ? nowMs - lastTickMs : LEVEL_INTERVAL_MS)
     lastTickMs = nowMs
@@ -135,12 +158,24 @@
       // Without pressure there is no timer, so the measurement window ends with the first call after it.
       if (!underPressure() && clock.nowMs() - lastTickMs > IDLE_WINDOW_MS) tick()
       level.arrived(req.priority)
-      if (queue.size() === 0 && inFlight < limiter.limit()) return { kind: 'permit', permit: issuePermit(req.opKey) }
+      rate.arrived()
+      // Calls whose turn has come since the last tick go first.
+      dispatchQueued()
+      if (queue.size() === 0 && hasRoom()) return { kind: 'permit', permit: issuePermit(req.opKey) }
       return enqueue(req)
     },
-    load: () => ({ level: level.level(), inFlight, queued: queue.size(), limit: limiter.limit() }),
-    targetStarted: (capacity) => {
+    load: () => {
+      const named = rate.load()
+      const report = { level: level.level(), inFlight, queued: queue.size(), limit: limiter.limit() }
+      return named === undefined ? report : { ...report, rate: named }
+    },
+    targetStarted: (capacity, sameProcess = false) => {
       limiter.targetStarted(capacity)
+      if (!sameProcess) rate.setLimit(undefined)
+      dispatchQueued()
+    },
+    setRateLimit: (perSecond) => {
+      rate.setLimit(perSecond)
       dispatchQueued()
     },
     tick,
--- a/packages/node/src/calls/call-path.test.ts
+++ b/packages/node/src/calls/call-path.test.ts
@@ -248,6 +248,7 @@
     underPressure: () => true,
     onPressure: () => {},
     targetStarted: () => {},
+    setRateLimit: () => {},
     enter: async () => { throw new Error('the gate was entered') }
   }
   const pair = await httpTarget(t, (_req, res) => res.end('ran'), { gate })
--- a/packages/node/src/calls/executor.test.ts
+++ b/packages/node/src/calls/executor.test.ts
@@ -4,7 +4,7 @@
 import { createIncomingCall } from '../links/incoming-call.js'
 import type { CallHead, CallReport, StreamMessage } from '../links/messages.js'
 import { createAnnouncedLimit } from '../limits/announced-limit.js'
-import { createNoticeReader } from '../routes/target-notices.js'
+import { createNoticeReader } from '../target/target-notices.js'
 import type { LocalTarget } from '../target/local-target.js'
 import type { TargetClient, TargetReply } from '../target/target-client.js'
 import { createExecutor } from './executor.js'
@@ -33,7 +33,7 @@
   const clock = createFakeClock()
   const gate = createTargetGate({ clock, limiter: createAnnouncedLimit() })
   gate.targetStarted(slots)
-  const announcement = { service: 'shop', instance: 'i-1' }
+  let announcement = { service: 'shop', instance: 'i-1' }
   const client = { run, close: () => Promise.resolve() }
   const target = { current: () => ({ announcement, client }) } as unknown as LocalTarget
   const refused: Array<{ requestId: string, refusal: Refusal, report: CallReport }> = []
@@ -47,7 +47,8 @@
     readNotices: createNoticeReader({ rateLimit: 'x-limit', leaving: 'x-leaving' }),
     onRefused: (call, refusal, report) => refused.push({ requestId: call.head.root.requestId, refusal, report })
   })
-  return { clock, gate, refused, executor }
+  const announce = (instance: string) => { announcement = { service: 'shop', instance } }
+  return { clock, gate, refused, executor, announce }
 }
 
 /** Runs one call at an executor whose target returns `reply`; returns the reported refusals and the messages sent to the caller. */
@@ -137,7 +138,7 @@
   }
 })
 
-/** Sends `perSecond` calls a second for `seconds` to a target that names a rate limit in each response; returns the times of the calls sent. */
+/** Offers `perSecond` calls a second to a target that names a rate limit in each response; returns the times at which it got calls. */
 async function sendToLimited ({ perSecond, seconds, limit }: { perSecond: number, seconds: number, limit: string }) {
   const sentMs: number[] = []
   const serviceMs = 60
@@ -170,3 +171,23 @@
   t.true(refused.length > 0)
   t.true(refused.every(({ refusal, report }) => refusal.outcome === 'not-run' && report.reachedTarget !== true))
 })
+
+// Guards against a limit that is applied to the wrong target process, because the response that names it comes after a replacement.
+test('a rate limit named by a process that has been replaced is ignored', async (t) => {
+  const { clock, gate, executor, announce } = createFixture({
+    run: async () => {
+      await clock.sleep(50)
+      const body = { read: async () => undefined, takeRest: () => undefined }
+      return { kind: 'head', status: 200, headers: ['x-limit', '5'], unframed: false, body, abort: () => {} }
+    },
+    slots: 10
+  })
+  executor.execute(createIncomingCall(createHead(), () => {}, () => {}))
+  await clock.advance(10)
+  announce('i-2')
+  await clock.advance(100)
+  t.is(gate.load().rate, undefined)
+  executor.execute(createIncomingCall(createHead(), () => {}, () => {}))
+  await clock.advance(100)
+  t.is(gate.load().rate?.perSecond, 5)
+})
--- a/packages/node/src/calls/executor.ts
+++ b/packages/node/src/calls/executor.ts
@@ -5,7 +5,7 @@
 import { readAll } from '../links/byte-queue.js'
 import type { IncomingCall } from '../links/incoming-call.js'
 import type { CallReport } from '../links/messages.js'
-import type { Announcement, LocalTarget } from '../target/local-target.js'
+import { isSameProcess, type Announcement, type LocalTarget } from '../target/local-target.js'
 import type { TargetReply } from '../target/target-client.js'
 import { startDeadline, type CallDeadline } from './call-deadline.js'
 import type { InboundCall, InboundCalls } from './inbound-calls.js'
@@ -13,7 +13,7 @@
 import { receiveTargetBody } from './target-body.js'
 import type { GuardedRun, IdempotencyGuard } from '../idempotency/idempotency-guard.js'
 import { HASHED_BODY_LIMIT_BYTES, requestHashOf } from '../idempotency/request-hash.js'
-import type { TargetNotices } from '../routes/target-notices.js'
+import { createNoticeReader, type TargetNotices } from '../target/target-notices.js'
 
 export type ExecutorOptions = {
   target: LocalTarget
@@ -29,11 +29,11 @@
   isForeignResponse?: (call: IncomingCall, headers: readonly string[]) => boolean
   /** Refusal for a response that says that the target did not run the call; undefined otherwise. */
   checkResponse?: (call: IncomingCall, reply: Pick<TargetHead, 'status' | 'headers'>) => Refusal | undefined
-  /** Reads what the target says of itself in a response; nothing by default. */
+  /** Reads what the target says of itself in a response; by default in the headers of orioleslip's own HTTP interface. */
   readNotices?: (headers: readonly string[]) => TargetNotices
   /** Called for each call that is sent to the target. */
   onSent?: () => void
-  /** Called for each response, with the target process to which the call was sent. */
+  /** Called for each response of the announced target process. */
   onNotices?: (announcement: Announcement, notices: TargetNotices) => void
   /** Called for each call refused here, with the load that the decision was based on. */
   onRefused?: (call: IncomingCall, refusal: Refusal, report: CallReport) => void
@@ -48,7 +48,8 @@
 export function createExecutor (options: ExecutorOptions) {
   const { target, gate, inbound, guard, clock } = options
   const { targetHeaders = defaultTargetHeaders, isForeignResponse = () => false } = options
-  const { checkResponse = () => undefined, onRefused = () => {}, readNotices, onSent = () => {}, onNotices = () => {} } = options
+  const { checkResponse = () => undefined, readNotices = createNoticeReader(HEADERS) } = options
+  const { onRefused = () => {}, onSent = () => {}, onNotices = () => {} } = options
 
   const reportOf = (call: InboundCall): CallReport => {
     const load = gate.load()
@@ -101,6 +102,15 @@
     }
   }
 
+  /** Applies what the target process `sender` says of itself, unless another process has replaced it. */
+  const applyNotices = (sender: Announcement, notices: TargetNotices): void => {
+    const announced = target.current()?.announcement
+    if (announced === undefined || !isSameProcess(announced, sender)) return
+    const { rateLimit } = notices
+    if (rateLimit.kind !== 'malformed') gate.setRateLimit(rateLimit.kind === 'named' ? rateLimit.perSecond : undefined)
+    onNotices(sender, notices)
+  }
+
   const execute = async ({ call, deadline, self, bytes, guardedRun }: ReadyCall): Promise<void> => {
     const { head } = call
     const entered = await gate.enter({
@@ -142,7 +152,7 @@
       return refuseCall(call, refusal, { ...reportOf(self), reachedTarget: true })
     }
     if (reply.kind === 'failed') return finishFailed({ call, deadline, self, permit, guardedRun, latencyMs, reply })
-    if (readNotices !== undefined) onNotices(current.announcement, readNotices(reply.headers))
+    applyNotices(current.announcement, readNotices(reply.headers))
     const rejection = checkResponse(call, reply)
     if (rejection !== undefined) {
       reply.abort()
--- a/packages/node/src/calls/node-stats.ts
+++ b/packages/node/src/calls/node-stats.ts
@@ -38,6 +38,8 @@
   metrics.gauge('target_in_flight', load.inFlight)
   metrics.gauge('target_queued', load.queued)
   metrics.gauge('target_limit', load.limit)
+  metrics.gauge('target_rate_limit', load.rate?.perSecond ?? 0)
+  metrics.gauge('target_rate_load', load.rate?.load ?? 0)
 }
 
 /** Creates the counters; each change is also sent to the metrics sink, if there is one. */
--- a/packages/node/src/limits/rate-limit-log.ts
+++ b/packages/node/src/limits/rate-limit-log.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '@orioleslip/core'
 import type { Logger } from 'pino'
-import type { RateLimitNotice } from '../routes/target-notices.js'
+import type { RateLimitNotice } from '../target/target-notices.js'
 
 /** Time between two lines while a limit is named, in ms. */
 const LINE_INTERVAL_MS = 1000
--- a/packages/node/src/links/compact.ts
+++ b/packages/node/src/links/compact.ts
@@ -1,4 +1,4 @@
-import type { Refusal } from '@orioleslip/core'
+import type { LoadReport, Refusal } from '@orioleslip/core'
 import type { CallHead, CallReport } from './messages.js'
 
 /** A call head as a list of values: field names would be most of its bytes, and traffic between failure domains is billed by the byte. */
@@ -13,7 +13,11 @@
 /** A report as a list of values. */
 export type CompactReport = [pathLevel: number, regionBytes: number, reachedTarget: boolean, load: CompactLoad | null]
 
-type CompactLoad = [level: number, inFlight: number, queued: number, limit: number]
+type CompactLoad = [
+  ...gate: [level: number, inFlight: number, queued: number, limit: number],
+  /** Left out by targets that name no rate, and by nodes of earlier versions. */
+  ...rate: [] | [perSecond: number, load: number]
+]
 
 /** A refusal and its report as a list of values. */
 export type CompactRefusal = [refusal: Refusal, report: CompactReport]
@@ -50,7 +54,15 @@
 
 /** Converts a report to a list of values. */
 export function packReport ({ pathLevel, regionBytes, reachedTarget, load }: CallReport): CompactReport {
-  return [pathLevel, regionBytes, reachedTarget === true, load === undefined ? null : [load.level, load.inFlight, load.queued, load.limit]]
+  return [pathLevel, regionBytes, reachedTarget === true, load === undefined ? null : packLoad(load)]
+}
+
+function packLoad ({ level, inFlight, queued, limit, rate }: LoadReport): CompactLoad {
+  return rate === undefined ? [level, inFlight, queued, limit] : [level, inFlight, queued, limit, rate.perSecond, rate.load]
+}
+
+function unpackLoad ([level, inFlight, queued, limit, perSecond, load]: CompactLoad): LoadReport {
+  return { level, inFlight, queued, limit, ...(perSecond === undefined || load === undefined ? {} : { rate: { perSecond, load } }) }
 }
 
 /** Converts a list of values back to a report. */
@@ -59,6 +71,6 @@
     pathLevel,
     regionBytes,
     ...(reachedTarget ? { reachedTarget } : {}),
-    ...(load === null ? {} : { load: { level: load[0], inFlight: load[1], queued: load[2], limit: load[3] } })
+    ...(load === null ? {} : { load: unpackLoad(load) })
   }
 }
--- a/packages/node/src/links/frames.test.ts
+++ b/packages/node/src/links/frames.test.ts
@@ -3,7 +3,11 @@
 import { createFrameDecoder, encodeFrame, MAX_FRAME_BYTES, type Frame } from './frames.js'
 
 const bytesArb = fc.uint8Array({ minLength: 1, maxLength: 2000 }).map((bytes) => Buffer.from(bytes))
-const loadArb = fc.record({ level: fc.nat(255), inFlight: fc.nat(), queued: fc.nat(), limit: fc.nat() })
+const rateArb = fc.record({ perSecond: fc.double({ min: 0.5, max: 1e6, noNaN: true }), load: fc.double({ min: 0, max: 1e6, noNaN: true }) })
+const loadArb = fc.record(
+  { level: fc.nat(255), inFlight: fc.nat(), queued: fc.nat(), limit: fc.nat(), rate: rateArb },
+  { requiredKeys: ['level', 'inFlight', 'queued', 'limit'] }
+)
 const reportArb = fc.record(
   { pathLevel: fc.nat(255), regionBytes: fc.nat(), reachedTarget: fc.constant(true), load: loadArb },
   { requiredKeys: ['pathLevel', 'regionBytes'] }
--- a/packages/node/src/routes/routed-node.ts
+++ b/packages/node/src/routes/routed-node.ts
@@ -31,7 +31,7 @@
 import { createRouteHandler, type RequestSummary } from './route-handler.js'
 import { createRoutedRetries } from './routed-retries.js'
 import { createRoutesPoller } from './routes-poller.js'
-import { createNoticeReader, type NoticeHeaderNames } from './target-notices.js'
+import { createNoticeReader, type NoticeHeaderNames } from '../target/target-notices.js'
 
 /** Dependencies and deployment settings of `startRoutedNode`. */
 export type RoutedNodeDeps = {
--- a/packages/node/src/routing/router.ts
+++ b/packages/node/src/routing/router.ts
@@ -63,15 +63,18 @@
 
   const faultShareOf = (stats: TargetStats): number => stats.faultShare * 0.5 ** ((clock.nowMs() - stats.faultShareMs) / FAULT_HALF_LIFE_MS)
   const penaltyOf = (stats: TargetStats): number => FAULT_PENALTY * Math.max(0, faultShareOf(stats) - TOLERATED_FAULT_SHARE)
-  // Calls per slot that the target is running or has been sent, from its last report and this node's own calls.
+  // Calls per slot that the target is running or has been sent, from its last report and this node's own calls; or calls as a share of the
+  // rate that it names, if that is more.
   const loadOf = (record: MemberRecord): number => {
     const stats = statsByVm.get(record.vmId)
     const announced = Math.max(1, record.target?.capacity ?? 1)
     if (stats === undefined) return 0
     if (stats.load === undefined) return stats.ownInFlight / announced
     const ageMs = clock.nowMs() - stats.reportMs
-    const reported = (stats.load.inFlight + stats.load.queued) * 0.5 ** (ageMs / REPORT_HALF_LIFE_MS)
-    return Math.max(stats.ownInFlight, reported + stats.sentSinceReport) / Math.max(1, stats.load.limit)
+    const { inFlight, queued, limit, rate } = stats.load
+    const freshness = 0.5 ** (ageMs / REPORT_HALF_LIFE_MS)
+    const slotLoad = Math.max(stats.ownInFlight, (inFlight + queued) * freshness + stats.sentSinceReport) / Math.max(1, limit)
+    return rate === undefined ? slotLoad : Math.max(slotLoad, rate.load * freshness + stats.sentSinceReport / rate.perSecond)
   }
   const costOf = (record: MemberRecord): number => {
     const stats = statsByVm.get(record.vmId)
--- a/packages/node/src/routing/routing.test.ts
+++ b/packages/node/src/routing/routing.test.ts
@@ -102,6 +102,23 @@
   }
 })
 
+// Guards against calls offered to a target that gets all that it accepts, although it has free slots, while another one has room.
+test('a target counts as full when it is offered the rate that it names', async (t) => {
+  const { clock, router, countPicks } = createTestRouter([{ vmId: 'near' }, { vmId: 'region', domain: 'r1-b' }])
+  const idle = { level: 0, inFlight: 1, queued: 0, limit: 10 }
+  router.recordLoad('near', { ...idle, rate: { perSecond: 20, load: 0.5 } })
+  t.deepEqual(Object.keys(countPicks(50)), ['near'])
+  router.recordLoad('near', { ...idle, rate: { perSecond: 20, load: 1.2 } })
+  t.deepEqual(Object.keys(countPicks(50)), ['region'])
+  await clock.advance(1000)
+  t.deepEqual(Object.keys(countPicks(50)), ['near'])
+  for (let i = 0; i < 20; i++) router.callSent('near')
+  t.deepEqual(Object.keys(countPicks(50)), ['region'])
+  router.recordLoad('near', idle)
+  for (let i = 0; i < 20; i++) router.callEnded('near', 'sound')
+  t.deepEqual(Object.keys(countPicks(50)), ['near'])
+})
+
 // Guards against inter-region traffic for calls that a target refuses because it is shedding load.
 test('a call does not cross regions to a target that sheds load', async (t) => {
   const { clock, router, countPicks } = createTestRouter([{ vmId: 'near' }, { vmId: 'far', region: 'r2' }])
--- a/packages/node/src/target/local-target.ts
+++ b/packages/node/src/target/local-target.ts
@@ -27,8 +27,8 @@
   withdraw: (instance: string) => boolean
   /** Returns the current announcement and the client of the target; undefined before the first announcement. */
   current: () => { announcement: Announcement, client: TargetClient } | undefined
-  /** Sets the listener that is called when the target process starts or is replaced. */
-  onStarted: (listener: (capacity: number) => void) => void
+  /** Sets the listener that is called when the target process starts, is replaced, or announces another port or capacity. */
+  onStarted: (listener: (capacity: number, sameProcess: boolean) => void) => void
 }
 
 /** Connections to the target per announced slot; the adaptive concurrency limit may rise to twice the announced capacity. */
@@ -37,14 +37,14 @@
 /** Creates the holder of the announced target and its connections; `host` is the address of this VM. */
 export function createLocalTarget (host: string, options: TargetClientOptions = {}): LocalTarget {
   let active: { announcement: Announcement, client: TargetClient } | undefined
-  let started: (capacity: number) => void = () => {}
+  let started: (capacity: number, sameProcess: boolean) => void = () => {}
   const replace = (announcement: Announcement) => {
     const address: PeerAddress = { host, port: announcement.port }
-    const old = active?.client
+    const old = active
     active = { announcement, client: createTargetClient(address, announcement.capacity * CONNECTIONS_PER_SLOT, options) }
     // The old pool closes when the calls in flight at the old process have ended.
-    old?.close().catch(() => undefined)
-    started(announcement.capacity)
+    old?.client.close().catch(() => undefined)
+    started(announcement.capacity, old !== undefined && isSameProcess(old.announcement, announcement))
   }
   return {
     announce: (announcement) => {
@@ -54,9 +54,9 @@
         replace(announcement)
         return true
       }
-      const isOtherProcess = previous.instance !== announcement.instance || previous.startedMs !== announcement.startedMs
-      if (isOtherProcess || previous.port !== announcement.port || previous.capacity !== announcement.capacity) replace(announcement)
-      else active.announcement = announcement
+      const isSameClient = previous.port === announcement.port && previous.capacity === announcement.capacity
+      if (isSameClient && isSameProcess(previous, announcement)) active.announcement = announcement
+      else replace(announcement)
       return true
     },
     withdraw: (instance) => {
@@ -69,6 +69,11 @@
   }
 }
 
+/** True if both announcements come from one target process. */
+export function isSameProcess (a: Announcement, b: Announcement): boolean {
+  return a.instance === b.instance && a.startedMs === b.startedMs
+}
+
 /** True if `next` comes from an earlier process, or was sent before `current` by the same process. */
 function isOlder (next: Announcement, current: Announcement): boolean {
   if (next.startedMs !== undefined && current.startedMs !== undefined && next.startedMs !== current.startedMs) {
