Stop calls to a target that says in its responses that it leaves

What callers would see: requests go to a target that is shutting down, and end with its connections, when it does not announce that it leaves, or when the node beside it has restarted since.

Only announcements counted, and a restarted node forgot even those.

Change: a response with the header withdraws the process like its own withdrawal. Reports carry the leaving process to the entry nodes, whose later calls to that VM carry it back, so that a restarted node refuses the first such call as not run and withdraws the target. Announcements, withdrawal and notices are handled in one module, target-lifecycle, for both kinds of node; node.ts had a copy that went on with announcements that the target holder had ignored.

Test: "a server that says that it leaves gets no requests after the drain time, also when the node beside it restarts" (two real nodes, a control VM and a server) failed before: 200 instead of 503 after the drain time. Unit tests of the lifecycle and of the memory of leaving processes.

--- a/packages/node/src/calls/executor.test.ts
+++ b/packages/node/src/calls/executor.test.ts
@@ -35,7 +35,7 @@
   gate.targetStarted(slots)
   let announcement = { service: 'shop', instance: 'i-1' }
   const client = { run, close: () => Promise.resolve() }
-  const target = { current: () => ({ announcement, client }) } as unknown as LocalTarget
+  const target = { current: () => ({ announcement, client }), leavingProcess: () => undefined } as unknown as LocalTarget
   const refused: Array<{ requestId: string, refusal: Refusal, report: CallReport }> = []
   const executor = createExecutor({
     target,
--- a/packages/node/src/calls/executor.ts
+++ b/packages/node/src/calls/executor.ts
@@ -4,7 +4,7 @@
 } from '@orioleslip/core'
 import { readAll } from '../links/byte-queue.js'
 import type { IncomingCall } from '../links/incoming-call.js'
-import type { CallReport } from '../links/messages.js'
+import type { CallHead, CallReport } from '../links/messages.js'
 import { isSameProcess, type Announcement, type LocalTarget } from '../target/local-target.js'
 import type { TargetReply } from '../target/target-client.js'
 import { startDeadline, type CallDeadline } from './call-deadline.js'
@@ -21,8 +21,8 @@
   inbound: InboundCalls
   guard: Pick<IdempotencyGuard, 'begin'>
   clock: Clock
-  /** Refusal for every new call while this node must not accept any; undefined otherwise. */
-  callRefusal: () => Refusal | undefined
+  /** Refusal for a new call that this node must not accept; undefined otherwise. */
+  callRefusal: (head: CallHead) => Refusal | undefined
   /** Builds the headers sent to the target; by default those of orioleslip's own HTTP interface. */
   targetHeaders?: TargetHeaders
   /** True for a response whose headers show that it belongs to another call; its connection is closed and not used again. */
@@ -53,7 +53,9 @@
 
   const reportOf = (call: InboundCall): CallReport => {
     const load = gate.load()
-    return { pathLevel: Math.max(load.level, call.childLevel()), regionBytes: call.childRegionBytes(), load }
+    const leavingProcess = target.leavingProcess()
+    const report: CallReport = { pathLevel: Math.max(load.level, call.childLevel()), regionBytes: call.childRegionBytes(), load }
+    return leavingProcess === undefined ? report : { ...report, leavingProcess }
   }
 
   const refuseCall = (call: IncomingCall, refusal: Refusal, report: CallReport): void => {
@@ -63,7 +65,7 @@
 
   const run = async (call: IncomingCall, deadline: CallDeadline, self: InboundCall): Promise<void> => {
     const refuse = (refusal: Refusal) => refuseCall(call, refusal, reportOf(self))
-    const unavailable = options.callRefusal() ?? noTargetRefusal(call, target)
+    const unavailable = options.callRefusal(call.head) ?? noTargetRefusal(call, target)
     if (unavailable !== undefined) return refuse(unavailable)
     if (deadline.remainingMs() <= 0) return refuse(notRun('deadline-exceeded', 'the deadline had passed when the call arrived'))
     const prepared = await prepareCall(call, deadline)
--- a/packages/node/src/calls/forwarder.ts
+++ b/packages/node/src/calls/forwarder.ts
@@ -13,6 +13,7 @@
 import { newAttemptToken } from '../idempotency/token.js'
 import type { Latencies } from '../limits/latencies.js'
 import type { InterRegionBudget, VolumeReservation } from '../routing/inter-region-budget.js'
+import { createLeavingProcesses } from '../routing/leaving-processes.js'
 import { bodyBytes, sendBody, type RequestBody } from './request-body.js'
 
 /** A call to be forwarded to a target of a service. */
@@ -88,6 +89,7 @@
 /** Creates the forwarder, which sends calls to targets: it picks the VM, accounts for inter-region traffic and retries failed attempts. */
 export function createForwarder (options: ForwarderOptions) {
   const { router, pool, latencies, clock } = options
+  const leaving = createLeavingProcesses()
 
   /** Opens a call stream when the peer is connected; returns an error message if it can't be reached or `signal` aborts first. */
   const openCall = async (req: ForwardRequest, member: MemberRecord, head: () => CallHead): Promise<OutgoingCall | string> => {
@@ -104,7 +106,7 @@
 
   const sendAttempt = async (req: ForwardRequest, member: MemberRecord, crossesRegion: boolean, claim: CallHead['claim']): Promise<AttemptResult> => {
     const deferBody = crossesRegion || req.body.kind === 'stream'
-    const call = await openCall(req, member, () => headOf(req, deferBody, claim))
+    const call = await openCall(req, member, () => headOf(req, { deferBody, claim, leavingProcess: leaving.of(member.vmId) }))
     if (typeof call === 'string') return { kind: 'ended', call: undefined, reply: { kind: 'notSent', message: call } }
     const cancel = () => call.cancel()
     if (req.deadline.signal.aborted) cancel()
@@ -123,7 +125,10 @@
     return options.regionBudget.reserve(req.root.customer, req.opKey, volume)
   }
 
-  const recordLoad = (vmId: string, report: CallReport) => { if (report.load !== undefined) router.recordLoad(vmId, report.load) }
+  const recordReport = (vmId: string, { load, leavingProcess }: CallReport) => {
+    if (load !== undefined) router.recordLoad(vmId, load)
+    if (leavingProcess !== undefined) leaving.record(vmId, leavingProcess)
+  }
 
   const forward = async (req: ForwardRequest): Promise<ForwardResult> => {
     const attempts: AttemptRecord[] = []
@@ -160,7 +165,7 @@
       const settle = (added: CallReport, verdict: TargetVerdict): CallReport => {
         const bytes = crossesRegion ? wireBytes(req, attempted.call) : 0
         volume?.settle(bytes)
-        recordLoad(member.vmId, added)
+        recordReport(member.vmId, added)
         router.callEnded(member.vmId, verdict)
         report = { pathLevel: Math.max(report.pathLevel, added.pathLevel), regionBytes: report.regionBytes + added.regionBytes + bytes }
         return report
@@ -225,7 +230,10 @@
 
 const NO_REPORT: CallReport = { pathLevel: 0, regionBytes: 0 }
 
-function headOf (req: ForwardRequest, deferBody: boolean, claim: CallHead['claim']): CallHead {
+/** Fields of a call head that differ between the attempts of a call. */
+type AttemptFields = { deferBody: boolean, claim: CallHead['claim'], leavingProcess: number | undefined }
+
+function headOf (req: ForwardRequest, { deferBody, claim, leavingProcess }: AttemptFields): CallHead {
   const length = bodyBytes(req.body)
   return {
     root: req.root,
@@ -238,6 +246,7 @@
     traceFlags: req.traceFlags,
     deferBody,
     ...(length === undefined ? {} : { bodyBytes: length }),
+    ...(leavingProcess === undefined ? {} : { leavingProcess }),
     ...(claim === undefined ? {} : { claim })
   }
 }
--- a/packages/node/src/links/compact.ts
+++ b/packages/node/src/links/compact.ts
@@ -7,11 +7,15 @@
   ...origin: [ledgerHost: string, ledgerPort: number, region: string],
   ...call: [service: string, method: string, path: string, headers: string[], opKey: string],
   ...terms: [remainingMs: number, traceFlags: string, deferBody: boolean],
-  ...optional: [bodyBytes: number | null, claimKey: string | null, claimToken: string | null]
+  ...optional: [bodyBytes: number | null, claimKey: string | null, claimToken: string | null],
+  ...leaving: [] | [leavingProcess: number]
 ]
 
 /** A report as a list of values. */
-export type CompactReport = [pathLevel: number, regionBytes: number, reachedTarget: boolean, load: CompactLoad | null]
+export type CompactReport = [
+  ...result: [pathLevel: number, regionBytes: number, reachedTarget: boolean, load: CompactLoad | null],
+  ...leaving: [] | [leavingProcess: number]
+]
 
 type CompactLoad = [
   ...gate: [level: number, inFlight: number, queued: number, limit: number],
@@ -25,18 +29,18 @@
 /** Converts a call head to a list of values. */
 export function packHead (head: CallHead): CompactHead {
   const { root: { requestId, traceId, customer, entryOpKey, priority, ledger, region }, claim } = head
-  const { service, method, path, headers, opKey, remainingMs, traceFlags, deferBody, bodyBytes } = head
+  const { service, method, path, headers, opKey, remainingMs, traceFlags, deferBody, bodyBytes, leavingProcess } = head
   return [
     requestId, traceId, customer, entryOpKey, priority, ledger.host, ledger.port, region,
     service, method, path, headers, opKey, remainingMs, traceFlags, deferBody,
-    bodyBytes ?? null, claim?.key ?? null, claim?.token ?? null
+    bodyBytes ?? null, claim?.key ?? null, claim?.token ?? null, ...(leavingProcess === undefined ? [] as const : [leavingProcess] as const)
   ]
 }
 
 /** Converts a list of values back to a call head. */
 export function unpackHead (values: CompactHead): CallHead {
   const [requestId, traceId, customer, entryOpKey, priority, host, port, region, ...call] = values
-  const [service, method, path, headers, opKey, remainingMs, traceFlags, deferBody, bodyBytes, key, token] = call
+  const [service, method, path, headers, opKey, remainingMs, traceFlags, deferBody, bodyBytes, key, token, leavingProcess] = call
   return {
     root: { requestId, traceId, customer, entryOpKey, priority, ledger: { host, port }, region },
     service,
@@ -48,13 +52,16 @@
     traceFlags,
     deferBody,
     ...(bodyBytes === null ? {} : { bodyBytes }),
+    ...(leavingProcess === undefined ? {} : { leavingProcess }),
     ...(key === null || token === null ? {} : { claim: { key, token } })
   }
 }
 
 /** Converts a report to a list of values. */
-export function packReport ({ pathLevel, regionBytes, reachedTarget, load }: CallReport): CompactReport {
-  return [pathLevel, regionBytes, reachedTarget === true, load === undefined ? null : packLoad(load)]
+export function packReport ({ pathLevel, regionBytes, reachedTarget, load, leavingProcess }: CallReport): CompactReport {
+  const compactLoad = load === undefined ? null : packLoad(load)
+  if (leavingProcess === undefined) return [pathLevel, regionBytes, reachedTarget === true, compactLoad]
+  return [pathLevel, regionBytes, reachedTarget === true, compactLoad, leavingProcess]
 }
 
 function packLoad ({ level, inFlight, queued, limit, rate }: LoadReport): CompactLoad {
@@ -66,11 +73,12 @@
 }
 
 /** Converts a list of values back to a report. */
-export function unpackReport ([pathLevel, regionBytes, reachedTarget, load]: CompactReport): CallReport {
+export function unpackReport ([pathLevel, regionBytes, reachedTarget, load, leavingProcess]: CompactReport): CallReport {
   return {
     pathLevel,
     regionBytes,
     ...(reachedTarget ? { reachedTarget } : {}),
-    ...(load === null ? {} : { load: unpackLoad(load) })
+    ...(load === null ? {} : { load: unpackLoad(load) }),
+    ...(leavingProcess === undefined ? {} : { leavingProcess })
   }
 }
--- a/packages/node/src/links/frames.test.ts
+++ b/packages/node/src/links/frames.test.ts
@@ -9,7 +9,7 @@
   { requiredKeys: ['level', 'inFlight', 'queued', 'limit'] }
 )
 const reportArb = fc.record(
-  { pathLevel: fc.nat(255), regionBytes: fc.nat(), reachedTarget: fc.constant(true), load: loadArb },
+  { pathLevel: fc.nat(255), regionBytes: fc.nat(), reachedTarget: fc.constant(true), load: loadArb, leavingProcess: fc.nat() },
   { requiredKeys: ['pathLevel', 'regionBytes'] }
 )
 const refusalArb = fc.record(
@@ -35,6 +35,7 @@
   traceFlags: fc.string(),
   deferBody: fc.boolean(),
   bodyBytes: fc.nat(),
+  leavingProcess: fc.nat(),
   claim: fc.record({ key: fc.string(), token: fc.string() })
 }, { requiredKeys: ['root', 'service', 'method', 'path', 'headers', 'opKey', 'remainingMs', 'traceFlags', 'deferBody'] })
 
--- a/packages/node/src/links/messages.ts
+++ b/packages/node/src/links/messages.ts
@@ -19,6 +19,8 @@
   deferBody: boolean
   /** Length of the body; absent if it is not known in advance. */
   bodyBytes?: number
+  /** Target process at the receiving VM that has said that it leaves, if the sender knows of one. */
+  leavingProcess?: number
   /** Idempotency key and attempt token that the executor claims in the key register; set on non-repeatable calls. */
   claim?: { key: string, token: string }
 }
@@ -34,6 +36,8 @@
   regionBytes: number
   /** True on the report of a refusal if the target had received the call. */
   reachedTarget?: boolean
+  /** Id of the target process if it has said that it leaves. */
+  leavingProcess?: number
   /** Absent if the replying node has no target. */
   load?: LoadReport
 }
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -1,5 +1,5 @@
 import {
-  createRequestVerifier, notRun, systemClock, systemRandom,
+  createRequestVerifier, systemClock, systemRandom,
   type Clock, type PeerAddress, type Random, type Settings
 } from '@orioleslip/core'
 import { toAuthority } from '@orioleslip/control/client'
@@ -35,7 +35,8 @@
 import { createAvailability } from './server/drain.js'
 import { createPlannedStop } from './server/planned-stop.js'
 import { createWellKnown } from './server/well-known.js'
-import { createLocalTarget, type Announcement } from './target/local-target.js'
+import { createLocalTarget } from './target/local-target.js'
+import { createTargetLifecycle } from './target/target-lifecycle.js'
 
 /** Dependencies of `startNode`. */
 export type NodeDeps = {
@@ -88,10 +89,9 @@
   const control = createControlCall({ controls: settings.controls, fleetKey, clock, random })
   const register = createRegisterClient(control.call)
   const guard = createIdempotencyGuard({ register, clock, log, vmId: vm.id })
-  // After a freeze the fleet may have declared this node failed and reassigned its work; it accepts none until it has refuted that.
-  const callRefusal = () =>
-    members.isConfirmed() ? availability.targetRefusal() : notRun('no-target', 'the node is not yet a confirmed member', 1)
-  const executor = createExecutor({ target, gate, inbound, guard, clock, callRefusal })
+  const lifecycle = createTargetLifecycle({ target, availability, watch, isConfirmed: members.isConfirmed, clock, log })
+  const { callRefusal, onSent, onNotices } = lifecycle
+  const executor = createExecutor({ target, gate, inbound, guard, clock, callRefusal, onSent, onNotices })
   const listener = await listenForPeers({
     address: peerAddress,
     identity: { fleetKey, vmId: vm.id },
@@ -128,16 +128,10 @@
     clock,
     stopping: availability.stopping
   })
-  const announce = (announcement: Announcement) => {
-    const { service, capacity, state } = announcement
-    target.announce(announcement)
-    availability.setTargetState(state)
-    watch.announce({ service, capacity, state: availability.stopping() ? 'leaving' : state })
-  }
   const wellKnown = createWellKnown({
     authority: callerAuthority,
     verify: createRequestVerifier({ fleetKey, operators: settings.auth.operators, clock }),
-    announce,
+    announce: lifecycle.announce,
     records,
     members: members.all,
     stats: stats.snapshot,
--- a/packages/node/src/routes/routed-node.ts
+++ b/packages/node/src/routes/routed-node.ts
@@ -12,7 +12,6 @@
 import type { IdempotencyGuard } from '../idempotency/idempotency-guard.js'
 import { createAnnouncedLimit } from '../limits/announced-limit.js'
 import { createLatencies } from '../limits/latencies.js'
-import { createRateLimitLog } from '../limits/rate-limit-log.js'
 import type { IncomingCall } from '../links/incoming-call.js'
 import { listenForPeers } from '../links/listener.js'
 import type { CallReport } from '../links/messages.js'
@@ -25,6 +24,7 @@
 import { createAvailability } from '../server/drain.js'
 import { createPlannedStop } from '../server/planned-stop.js'
 import { createLocalTarget, type Announcement } from '../target/local-target.js'
+import { createTargetLifecycle } from '../target/target-lifecycle.js'
 import { createForeignResponseTest, createResponseCheck, createRoutedTargetHeaders, type CallHeaderNames } from './call-headers.js'
 import { createDestinationChooser } from './destinations.js'
 import { createRepeatBudget } from './repeat-budget.js'
@@ -83,22 +83,20 @@
   target.onStarted(gate.targetStarted)
   const watch = createTargetWatch({ clock, log, publish: (record) => members.announceTarget(record), silenceMs: cfg.targetSilenceMs })
   const pool = createPeerPool({ fleetKey, vmId: vm.id }, () => undefined)
-  const rateLimitLog = createRateLimitLog({ clock, log })
+  const lifecycle = createTargetLifecycle({ target, availability, watch, isConfirmed: members.isConfirmed, clock, log })
   const executor = createExecutor({
     target,
     gate,
     inbound,
     guard: rejectingGuard,
     clock,
-    // After a freeze the fleet may have declared this node failed and reassigned its work; it accepts none until it has refuted that.
-    callRefusal: () =>
-      members.isConfirmed() ? availability.targetRefusal() : notRun('no-target', 'the node is not yet a confirmed member', 1),
+    callRefusal: lifecycle.callRefusal,
+    onSent: lifecycle.onSent,
+    onNotices: lifecycle.onNotices,
     targetHeaders: createRoutedTargetHeaders(names),
     isForeignResponse: createForeignResponseTest(names),
     checkResponse: createResponseCheck(names),
     readNotices: createNoticeReader(deps.notices),
-    onSent: rateLimitLog.sent,
-    onNotices: ({ instance }, { rateLimit }) => rateLimitLog.noticed(instance, rateLimit),
     onRefused: (call, refusal, report) => logRefusedCall(log, call, refusal, report)
   })
   const listener = await listenForPeers({
@@ -176,29 +174,8 @@
     drain,
     stop,
     isReady: () => !availability.stopping() && routes() !== undefined && members.isConfirmed(),
-    announce: (announcement) => {
-      const before = target.current()?.announcement
-      const accepted = target.announce(announcement)
-      const { service, capacity, state, instance } = announcement
-      if (!accepted) {
-        log.info({ event: 'announcement-ignored', instance, sequence: announcement.sequence }, 'ignored a target announcement that is older than the one in effect')
-        return false
-      }
-      if (before?.instance !== instance || before.state !== state) {
-        log.info({ event: 'target', instance, service, state }, 'local target announced a new state')
-      }
-      availability.setTargetState(state)
-      watch.announce({ service, capacity, state: availability.stopping() ? 'leaving' : state })
-      return true
-    },
-    withdraw: (instance) => {
-      const withdrawn = target.withdraw(instance)
-      log.info({ event: 'target', instance, state: 'leaving', withdrawn }, 'local target has withdrawn')
-      if (!withdrawn) return false
-      availability.setTargetState('leaving')
-      watch.leave()
-      return true
-    }
+    announce: lifecycle.announce,
+    withdraw: lifecycle.withdraw
   }
 }
 
--- a/packages/node/src/server/drain.ts
+++ b/packages/node/src/server/drain.ts
@@ -16,6 +16,8 @@
   stop: () => void
   /** Records the state that the target has announced. */
   setTargetState: (state: Announcement['state']) => void
+  /** Ends the acceptance of calls to a leaving target at once. */
+  targetLeft: () => void
 }
 
 /**
@@ -41,7 +43,8 @@
       state = announcedState
       if (announcedState !== 'leaving') leavingMs = undefined
       else leavingMs ??= clock.nowMs()
-    }
+    },
+    targetLeft: () => { leavingMs = -Infinity }
   }
 }
 
--- a/packages/node/src/target/local-target.ts
+++ b/packages/node/src/target/local-target.ts
@@ -1,5 +1,5 @@
 import { z } from 'zod'
-import type { PeerAddress } from '@orioleslip/core'
+import { fnv1a, type PeerAddress } from '@orioleslip/core'
 import { createTargetClient, type TargetClient, type TargetClientOptions } from './target-client.js'
 
 /** Body of a target's announcement, `PUT /.well-known/orioleslip/target`. */
@@ -25,6 +25,8 @@
   announce: (announcement: Announcement) => boolean
   /** Marks the instance as leaving, whatever its late announcements say; false if another instance is current. */
   withdraw: (instance: string) => boolean
+  /** Id of the current process if it has withdrawn; undefined otherwise. */
+  leavingProcess: () => number | undefined
   /** Returns the current announcement and the client of the target; undefined before the first announcement. */
   current: () => { announcement: Announcement, client: TargetClient } | undefined
   /** Sets the listener that is called when the target process starts, is replaced, or announces another port or capacity. */
@@ -34,6 +36,9 @@
 /** Connections to the target per announced slot; the adaptive concurrency limit may rise to twice the announced capacity. */
 const CONNECTIONS_PER_SLOT = 2
 
+/** Sequence of a process that has withdrawn, so that none of its announcements is newer. */
+const WITHDRAWN_SEQUENCE = Number.MAX_SAFE_INTEGER
+
 /** Creates the holder of the announced target and its connections; `host` is the address of this VM. */
 export function createLocalTarget (host: string, options: TargetClientOptions = {}): LocalTarget {
   let active: { announcement: Announcement, client: TargetClient } | undefined
@@ -61,9 +66,10 @@
     },
     withdraw: (instance) => {
       if (active?.announcement.instance !== instance) return false
-      active.announcement = { ...active.announcement, state: 'leaving', sequence: Number.MAX_SAFE_INTEGER }
+      active.announcement = { ...active.announcement, state: 'leaving', sequence: WITHDRAWN_SEQUENCE }
       return true
     },
+    leavingProcess: () => active?.announcement.sequence === WITHDRAWN_SEQUENCE ? processIdOf(active.announcement) : undefined,
     current: () => active,
     onStarted: (listener) => { started = listener }
   }
@@ -74,6 +80,11 @@
   return a.instance === b.instance && a.startedMs === b.startedMs
 }
 
+/** Identifies a target process in messages between nodes. */
+export function processIdOf ({ instance, startedMs }: Announcement): number {
+  return fnv1a(`${instance} ${startedMs ?? ''}`)
+}
+
 /** True if `next` comes from an earlier process, or was sent before `current` by the same process. */
 function isOlder (next: Announcement, current: Announcement): boolean {
   if (next.startedMs !== undefined && current.startedMs !== undefined && next.startedMs !== current.startedMs) {
--- /dev/null
+++ b/packages/node/src/target/target-lifecycle.ts
@@ -0,0 +1,89 @@
+import { notRun, type Clock, type Refusal } from '@orioleslip/core'
+import { createRateLimitLog } from '../limits/rate-limit-log.js'
+import type { CallHead } from '../links/messages.js'
+import type { Log } from '../members/self-record.js'
+import type { TargetWatch } from '../members/target-watch.js'
+import type { Availability } from '../server/drain.js'
+import { processIdOf, type Announcement, type LocalTarget } from './local-target.js'
+import type { TargetNotices } from './target-notices.js'
+
+/** Dependencies of `createTargetLifecycle`. */
+export type TargetLifecycleOptions = {
+  target: LocalTarget
+  availability: Availability
+  watch: Pick<TargetWatch, 'announce' | 'leave'>
+  /** False while the fleet may have given this node's work to others. */
+  isConfirmed: () => boolean
+  clock: Clock
+  log: Log
+}
+
+/** Start, changes and end of the local target, from its announcements, its responses, and what other nodes know of it. */
+export type TargetLifecycle = {
+  /** Applies an announcement; false when it is older than the one in effect. */
+  announce: (announcement: Announcement) => boolean
+  /** Marks this instance as leaving, whatever its later announcements say; false when another instance is in effect. */
+  withdraw: (instance: string) => boolean
+  /** Refusal for a call that this node must not accept; undefined otherwise. */
+  callRefusal: (head: Pick<CallHead, 'leavingProcess'>) => Refusal | undefined
+  /** Counts a call that is sent to the target. */
+  onSent: () => void
+  /** Applies what the announced process says of itself in a response. */
+  onNotices: (sender: Announcement, notices: TargetNotices) => void
+}
+
+/** Creates the lifecycle. */
+export function createTargetLifecycle (options: TargetLifecycleOptions): TargetLifecycle {
+  const { target, availability, watch, isConfirmed, log } = options
+  const rateLimitLog = createRateLimitLog(options)
+  const isKnownToLeave = () => target.leavingProcess() !== undefined
+
+  const withdraw = (instance: string): boolean => {
+    const wasKnown = isKnownToLeave()
+    const withdrawn = target.withdraw(instance)
+    if (withdrawn && wasKnown) return true
+    log.info({ event: 'target', instance, state: 'leaving', withdrawn }, 'local target has withdrawn')
+    if (!withdrawn) return false
+    availability.setTargetState('leaving')
+    watch.leave()
+    return true
+  }
+
+  // A predecessor of this process may have known that the target leaves; the entry nodes that know it say so in their calls.
+  const applyToldLeaving = (processId: number): void => {
+    const announcement = target.current()?.announcement
+    if (announcement === undefined || isKnownToLeave() || processIdOf(announcement) !== processId) return
+    withdraw(announcement.instance)
+    // The time in which a leaving target still gets calls began before this process started.
+    availability.targetLeft()
+  }
+  return {
+    withdraw,
+    announce: (announcement) => {
+      const before = target.current()?.announcement
+      const accepted = target.announce(announcement)
+      const { service, capacity, state, instance } = announcement
+      if (!accepted) {
+        log.info({ event: 'announcement-ignored', instance, sequence: announcement.sequence }, 'ignored a target announcement that is older than the one in effect')
+        return false
+      }
+      if (before?.instance !== instance || before.state !== state) {
+        log.info({ event: 'target', instance, service, state }, 'local target announced a new state')
+      }
+      availability.setTargetState(state)
+      watch.announce({ service, capacity, state: availability.stopping() ? 'leaving' : state })
+      return true
+    },
+    callRefusal: ({ leavingProcess }) => {
+      // After a freeze the fleet may have declared this node failed and reassigned its work; it accepts none until it has refuted that.
+      if (!isConfirmed()) return notRun('no-target', 'the node is not yet a confirmed member', 1)
+      if (leavingProcess !== undefined) applyToldLeaving(leavingProcess)
+      return availability.targetRefusal()
+    },
+    onSent: rateLimitLog.sent,
+    onNotices: ({ instance }, { rateLimit, leaving }) => {
+      rateLimitLog.noticed(instance, rateLimit)
+      if (leaving) withdraw(instance)
+    }
+  }
+}
