Refuse what a stopping node would send to a target only late in its drain

What callers would see: a request whose head comes early in a planned stop and whose body comes late is passed on, and its connection is closed without a response when the grace ends. The same holds for a call that is retried late.

Cause: whether a stopping node still accepts a request was asked once, when the head had been read. The body (up to 1 MiB is buffered) and each further attempt could come seconds later. Class of fault: a permission that is checked when the work is announced and not when it is done.

"an attempt that would start after the node has stopped accepting requests is refused" guards the retries; one whose first attempt may have run keeps its unknown outcome. Nodes with plans take the same check; calls of their own target stay exempt, since they belong to calls that the node still completes.

--- a/packages/node/src/calls/call-handler.ts
+++ b/packages/node/src/calls/call-handler.ts
@@ -149,7 +149,9 @@
       body,
       deadline,
       traceFlags: parsed.trace?.flags ?? '00',
-      claimKey: admitted.claimKey
+      claimKey: admitted.claimKey,
+      // Calls of the local target belong to a call that a stopping node still completes.
+      ...(admitted.origin.kind === 'entry' ? { attemptRefusal: options.entryRefusal } : {})
     })
     switch (result.kind) {
       case 'answer': {
--- a/packages/node/src/calls/forwarder.test.ts
+++ b/packages/node/src/calls/forwarder.test.ts
@@ -131,3 +131,23 @@
   await forward({ ...requestWithin(1000), body: { kind: 'stream', read: async () => undefined } })
   t.deepEqual(picks.map(({ need }) => need !== undefined), [true, false, false])
 })
+
+// Guards against calls that a stopping node passes on late in its drain, because their body came late or they are retried, and that are cut
+// when the drain ends.
+test('an attempt that would start after the node has stopped accepting requests is refused', async (t) => {
+  const draining = notRun('draining', 'the node is stopping', 1)
+  const full = notRun('overloaded', 'full', 1)
+  const lost = unknownOutcome('target-lost', 'reset')
+  const cases = [
+    { acceptedAttempts: 0, first: full, calls: 0, refusal: draining },
+    { acceptedAttempts: 1, first: full, calls: 1, refusal: draining },
+    { acceptedAttempts: 1, first: lost, calls: 1, refusal: lost }
+  ]
+  for (const { acceptedAttempts, first, calls, refusal } of cases) {
+    const peer = scriptedPeer([refuse(first), (call) => respond(call, 200)])
+    const { forward } = forwarderTo(peer.get, ({ attempts }) => attempts < 2)
+    const attemptRefusal = () => peer.calls() < acceptedAttempts ? undefined : draining
+    t.like(await forward({ ...requestWithin(1000), attemptRefusal }), { kind: 'refused', refusal })
+    t.is(peer.calls(), calls)
+  }
+})
--- a/packages/node/src/calls/forwarder.ts
+++ b/packages/node/src/calls/forwarder.ts
@@ -31,6 +31,8 @@
   traceFlags: string
   /** Idempotency key of a non-repeatable call, claimed by the executor; each attempt gets a token of its own. */
   claimKey: string | undefined
+  /** Asked before each attempt: refusal while this node must not start any; undefined otherwise. */
+  attemptRefusal?: () => Refusal | undefined
 }
 
 /** One attempt at one VM, for the decision record. */
@@ -148,6 +150,8 @@
       return true
     }
     for (;;) {
+      const attemptRefusal = req.attemptRefusal?.()
+      if (attemptRefusal !== undefined) return refused(attemptRefusal)
       const volume = reserveVolume(req, attempts.length)
       const mayCrossRegion = options.allowCrossRegion === true || volume !== undefined
       const need = needOf(req)
--- a/packages/node/src/routes/route-handler.ts
+++ b/packages/node/src/routes/route-handler.ts
@@ -108,7 +108,8 @@
       body,
       deadline,
       traceFlags: '00',
-      claimKey: undefined
+      claimKey: undefined,
+      attemptRefusal: options.entryRefusal
     })
   }
 
