Accept requests for 2.5 s of a planned stop, so that the last ones can end

What callers would see: a request that is sent 3 s after the signal to stop, or a little later, is accepted, since the node handled the signal late, and its connection is closed without a response at the end of the grace.

Cause: a stopping node accepted requests for 3 s from the moment at which it handled the signal, the time in which its leaving state reaches all nodes. Both ends of the bound are the caller's: 3 s after the signal, the last moment of a request that may still run at the end, and the end of the grace.

Change: requests of callers are accepted for 2.5 s. Callers find out within two readiness checks, one a second. The state is disseminated for 3 s as before, so that the stop takes as long as before.

Evidence: "a node that handles the signal to stop late refuses requests as early as one that handles it at once" (signal handled after 0.4 s, eight requests 3 s after the signal, 4 s of work) failed before with eight lost requests; now each gets 503 and none has run.

Run: tests of platform, node and daemon.

--- a/packages/node/src/server/drain.ts
+++ b/packages/node/src/server/drain.ts
@@ -4,6 +4,11 @@
 
 /** Time in which the state of a leaving target reaches all nodes, in ms; afterwards the node refuses new calls. */
 export const LEAVE_DISSEMINATION_MS = 3000
+/**
+ * Time for which a stopping node accepts requests from callers, in ms. Callers find out within two readiness checks, one a second; the node
+ * may handle the signal to stop late, and what it accepts has to end within the drain.
+ */
+const ENTRY_ACCEPT_MS = 2500
 
 /** Whether this node accepts new calls to its target and new requests from callers. */
 export type Availability = {
@@ -36,7 +41,7 @@
       if (state === 'starting') return notRun('no-target', 'the target is starting', 1)
       return undefined
     },
-    entryRefusal: () => hasElapsed(stoppedMs, LEAVE_DISSEMINATION_MS) ? notRun('draining', 'the node is stopping', 1) : undefined,
+    entryRefusal: () => hasElapsed(stoppedMs, ENTRY_ACCEPT_MS) ? notRun('draining', 'the node is stopping', 1) : undefined,
     stopping: () => stoppedMs !== undefined,
     stop: () => { stoppedMs ??= clock.nowMs() },
     setTargetState: (announcedState) => {
