End calls at once to a target whose first response says that it leaves

What callers would see: requests go to a target that is shutting down, longer than the drain time after the node where they enter has passed on its notice.

Cause: the reports and calls that carry the leaving process from node to node end with a response. If the node beside the target dies before that, no entry node remembers the process, and the restarted node takes the first notice that it sees for a new one: it accepts calls for another drain time.

Change: when the first response of a process already says that it leaves, the node refuses further calls as not run, since it can't know how long others have known. They go to other targets outside the repeat budget.

Evidence: "a target whose first response already says that it leaves gets no further calls" failed before: no refusal. "a node that knows itself that its target leaves ..." now starts with a response without the notice, since only such a node knows it itself; its assertion is unchanged.

--- a/packages/node/src/target/target-lifecycle.test.ts
+++ b/packages/node/src/target/target-lifecycle.test.ts
@@ -49,6 +49,15 @@
   t.truthy(lifecycle.callRefusal({}))
 })
 
+// Guards against calls to a target that has left, by nodes that have passed on its notice, when the node beside it restarted meanwhile and
+// takes the first notice that it sees for a new one.
+test('a target whose first response already says that it leaves gets no further calls', (t) => {
+  const { lifecycle, published, respond } = createFixture()
+  respond(true)
+  t.deepEqual(published, ['ready', 'leaving'])
+  t.like(lifecycle.callRefusal({}), { code: 'draining', outcome: 'not-run' })
+})
+
 // Guards against a target that is refused because another process at its address, or under its name, has left.
 test('a process that replaces a leaving one is ready', (t) => {
   const { target, lifecycle, respond } = createFixture()
@@ -62,6 +71,7 @@
 // Guards against calls that are refused in the time in which a leaving target still gets calls, by nodes that know that it leaves.
 test('a node that knows itself that its target leaves accepts calls until the drain time has passed', async (t) => {
   const { clock, lifecycle, respond } = createFixture()
+  respond(false)
   respond(true)
   await clock.advance(1000)
   t.is(lifecycle.callRefusal({ leavingProcess: processIdOf(announcement()) }), undefined)
--- a/packages/node/src/target/target-lifecycle.ts
+++ b/packages/node/src/target/target-lifecycle.ts
@@ -4,7 +4,7 @@
 import type { Log } from '../members/self-record.js'
 import type { TargetWatch } from '../members/target-watch.js'
 import type { Availability } from '../server/drain.js'
-import { processIdOf, type Announcement, type LocalTarget } from './local-target.js'
+import { isSameProcess, processIdOf, type Announcement, type LocalTarget } from './local-target.js'
 import type { TargetNotices } from './target-notices.js'
 
 /** Dependencies of `createTargetLifecycle`. */
@@ -36,6 +36,8 @@
 export function createTargetLifecycle (options: TargetLifecycleOptions): TargetLifecycle {
   const { target, availability, watch, isConfirmed, log } = options
   const rateLimitLog = createRateLimitLog(options)
+  /** Target process that has responded to this node without a notice that it leaves. */
+  let inService: Announcement | undefined
   const isKnownToLeave = () => target.leavingProcess() !== undefined
 
   const withdraw = (instance: string): boolean => {
@@ -49,6 +51,13 @@
     return true
   }
 
+  const applyLeavingNotice = (sender: Announcement): void => {
+    if (isKnownToLeave()) return
+    withdraw(sender.instance)
+    // Nodes may have passed on the notice long ago, over the predecessor of this process.
+    if (inService === undefined || !isSameProcess(inService, sender)) availability.targetLeft()
+  }
+
   // A predecessor of this process may have known that the target leaves; the entry nodes that know it say so in their calls.
   const applyToldLeaving = (processId: number): void => {
     const announcement = target.current()?.announcement
@@ -81,9 +90,10 @@
       return availability.targetRefusal()
     },
     onSent: rateLimitLog.sent,
-    onNotices: ({ instance }, { rateLimit, leaving }) => {
-      rateLimitLog.noticed(instance, rateLimit)
-      if (leaving) withdraw(instance)
+    onNotices: (sender, { rateLimit, leaving }) => {
+      rateLimitLog.noticed(sender.instance, rateLimit)
+      if (leaving) applyLeavingNotice(sender)
+      else inService = sender
     }
   }
 }
