--- a/packages/cli/src/cli.test.ts
+++ b/packages/cli/src/cli.test.ts
@@ -6,6 +6,7 @@
 import test, { type ExecutionContext } from 'ava'
 import { startControl } from '@orioleslip/control'
 import { settingsSchema, systemClock } from '@orioleslip/core'
+import { loopbackHost } from '@orioleslip/core/testing'
 import { pino } from 'pino'
 import { EXIT } from './exit-codes.js'
 import { runCli } from './program.js'
@@ -13,19 +14,14 @@
 
 const KEY = 'operator-key-0123456789'
 
-async function freePort (): Promise<number> {
-  const server = createServer()
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
-  const { port } = server.address() as AddressInfo
-  await new Promise((resolve) => server.close(resolve))
-  return port
-}
+const HOST = loopbackHost()
+let nextPort = 20_000
 
 /** Starts a control process with one operator and returns a function that runs commands against it. */
 async function startFleet (t: ExecutionContext) {
   const dataDir = await mkdtemp(join(tmpdir(), 'orioleslip-control-'))
-  const port = await freePort()
-  const place = { address: '127.0.0.1', failureDomain: 'r1-a' }
+  const port = nextPort++
+  const place = { address: HOST, failureDomain: 'r1-a' }
   const settings = settingsSchema.parse({
     role: 'control',
     vm: { id: 'c1', region: 'r1', ...place },
@@ -44,7 +40,7 @@
     const code = await runCli(argv, {
       out: (text) => out.push(text),
       note: (line) => notes.push(line),
-      env: { ORIOLESLIP_CONFIG: undefined, ORIOLESLIP_CONTROLS: `127.0.0.1:${port}`, ORIOLESLIP_OPERATOR: 'ana', ORIOLESLIP_KEY: KEY, ...env },
+      env: { ORIOLESLIP_CONFIG: undefined, ORIOLESLIP_CONTROLS: `${HOST}:${port}`, ORIOLESLIP_OPERATOR: 'ana', ORIOLESLIP_KEY: KEY, ...env },
       clock: systemClock
     })
     return { code, out: out.join('\n'), notes: notes.join('\n'), json: () => JSON.parse(out.join('\n')) as Record<string, unknown> }
@@ -124,10 +120,10 @@
     res.statusCode = req.url === '/.well-known/orioleslip/explain/req-1' ? 200 : 404
     res.end(JSON.stringify({ decision: 'admitted' }))
   })
-  await new Promise<void>((resolve) => node.listen(0, '127.0.0.1', resolve))
+  await new Promise<void>((resolve) => node.listen(0, HOST, resolve))
   t.teardown(() => node.close())
-  const known = `127.0.0.1:${(node.address() as AddressInfo).port}`
-  const found = await run(['explain', 'req-1', '--node', `127.0.0.1:${await freePort()}`, '--node', known, '--json'])
+  const known = `${HOST}:${(node.address() as AddressInfo).port}`
+  const found = await run(['explain', 'req-1', '--node', `${HOST}:${nextPort++}`, '--node', known, '--json'])
   t.like(found.json(), { found: [{ node: known, record: { decision: 'admitted' } }] })
   t.is((await run(['explain', 'req-2', '--node', known])).code, EXIT.unavailable)
 })
--- a/packages/control/src/control.test.ts
+++ b/packages/control/src/control.test.ts
@@ -1,33 +1,28 @@
-import { createServer, type AddressInfo } from 'node:net'
 import { mkdtemp, rm } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import test from 'ava'
 import { settingsSchema, systemClock } from '@orioleslip/core'
+import { loopbackHost } from '@orioleslip/core/testing'
 import { pino } from 'pino'
 import { createControlClient, type ControlClient } from './api/client.js'
 import { startControl, type Control } from './control.js'
 import { FLEET_KEY, OPERATOR_KEY } from './testing/api-fixture.js'
 
-async function freePorts (count: number): Promise<number[]> {
-  const servers = Array.from({ length: count }, () => createServer())
-  await Promise.all(servers.map((server) => new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))))
-  const ports = servers.map((server) => (server.address() as AddressInfo).port)
-  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))))
-  return ports
-}
+const HOST = loopbackHost()
+let nextPort = 20_000
 
-/** Creates control VMs that run in this process, on free ports and in temporary folders. */
+/** Creates control VMs that run in this process, in temporary folders. */
 async function createFleet (count: number) {
   const root = await mkdtemp(join(tmpdir(), 'orioleslip-fleet-'))
-  const ports = await freePorts(count)
-  const controls = ports.map((port, i) => ({ vmId: `c${i + 1}`, address: '127.0.0.1', apiPort: port, gossipPort: 1, failureDomain: `d${i}` }))
+  const ports = Array.from({ length: count }, () => nextPort++)
+  const controls = ports.map((port, i) => ({ vmId: `c${i + 1}`, address: HOST, apiPort: port, gossipPort: 1, failureDomain: `d${i}` }))
   const running = new Map<number, Control>()
   const dataDir = (i: number) => join(root, `c${i + 1}`)
   const operator = (i: number): ControlClient => createControlClient({
-    authority: `127.0.0.1:${ports[i]}`, principal: { kind: 'operator', name: 'ana' }, key: OPERATOR_KEY, clock: systemClock
+    authority: `${HOST}:${ports[i]}`, principal: { kind: 'operator', name: 'ana' }, key: OPERATOR_KEY, clock: systemClock
   })
-  const fleet = createControlClient({ authority: `127.0.0.1:${ports[0]}`, principal: { kind: 'fleet' }, key: FLEET_KEY, clock: systemClock })
+  const fleet = createControlClient({ authority: `${HOST}:${ports[0]}`, principal: { kind: 'fleet' }, key: FLEET_KEY, clock: systemClock })
   return {
     operators: ports.map((_, i) => operator(i).api),
     fleet: fleet.api,
@@ -35,7 +30,7 @@
     start: async (i: number) => {
       const settings = settingsSchema.parse({
         role: 'control',
-        vm: { id: `c${i + 1}`, address: '127.0.0.1', region: 'r1', failureDomain: `d${i}` },
+        vm: { id: `c${i + 1}`, address: HOST, region: 'r1', failureDomain: `d${i}` },
         control: { apiPort: ports[i], gossipPort: 1, dataDir: dataDir(i) },
         controls,
         auth: { fleetKey: FLEET_KEY, operators: [{ name: 'ana', key: OPERATOR_KEY }] }
