Ignore what another process at the target's address says of itself

What callers would see: the target beside a node is limited or withdrawn, although it named nothing, because another process took its address and responds 421 with a limit or with the leaving header.

Cause: the notices of a response were applied before it was asked whether the announced process had sent it. A refusal and a misdirected call had one type, so that nothing could tell them apart. Class of fault: a statement is applied to whoever is expected at an address, not to whoever made it.

Change: the check of a response returns `ran`, `not-run` or `misdirected`; the last one changes neither the limit nor the lifecycle, and doesn't count as the first response of the target. A refusal of the target itself (503, 429) still carries its notices.

Evidence: "a rate limit and a notice of leaving are ignored in a response that says that another process has responded" failed before: the gate had the limit of 5.

--- a/packages/node/src/calls/executor.test.ts
+++ b/packages/node/src/calls/executor.test.ts
@@ -7,7 +7,8 @@
 import { createNoticeReader } from '../target/target-notices.js'
 import type { LocalTarget } from '../target/local-target.js'
 import type { TargetClient, TargetReply } from '../target/target-client.js'
-import { createExecutor } from './executor.js'
+import { createResponseCheck } from '../routes/call-headers.js'
+import { createExecutor, type ExecutorOptions } from './executor.js'
 import { createInboundCalls } from './inbound-calls.js'
 
 function createHead (over: Partial<CallHead> = {}): CallHead {
@@ -29,7 +30,11 @@
 }
 
 /** Creates an executor with a fake clock and a target whose client is `run`. */
-function createFixture ({ run, slots = 1, callRefusal }: { run: TargetClient['run'], slots?: number, callRefusal?: Refusal | undefined }) {
+function createFixture (
+  { run, slots = 1, callRefusal, checkResponse }: {
+    run: TargetClient['run'], slots?: number, callRefusal?: Refusal | undefined, checkResponse?: ExecutorOptions['checkResponse']
+  }
+) {
   const clock = createFakeClock()
   const gate = createTargetGate({ clock, limiter: createAnnouncedLimit() })
   gate.targetStarted(slots)
@@ -37,6 +42,7 @@
   const client = { run, close: () => Promise.resolve() }
   const target = { current: () => ({ announcement, client }), leavingProcess: () => undefined } as unknown as LocalTarget
   const refused: Array<{ requestId: string, refusal: Refusal, report: CallReport }> = []
+  let leavingNotices = 0
   const executor = createExecutor({
     target,
     gate,
@@ -45,10 +51,12 @@
     guard: { begin: () => Promise.reject(new Error('no call of this test has a key')) },
     callRefusal: () => callRefusal,
     readNotices: createNoticeReader({ rateLimit: 'x-limit', leaving: 'x-leaving' }),
+    onNotices: (_sender, { leaving }) => { leavingNotices += leaving ? 1 : 0 },
+    ...(checkResponse === undefined ? {} : { checkResponse }),
     onRefused: (call, refusal, report) => refused.push({ requestId: call.head.root.requestId, refusal, report })
   })
   const announce = (instance: string) => { announcement = { service: 'shop', instance } }
-  return { clock, gate, refused, executor, announce }
+  return { clock, gate, refused, executor, announce, leavingNotices: () => leavingNotices }
 }
 
 /** Runs one call at an executor whose target returns `reply`; returns the reported refusals and the messages sent to the caller. */
@@ -191,3 +199,30 @@
   await clock.advance(100)
   t.is(gate.load().rate?.perSecond, 5)
 })
+
+// Guards against a target that is limited or withdrawn because of what another process at its address says of itself.
+test('a rate limit and a notice of leaving are ignored in a response that says that another process has responded', async (t) => {
+  let status = 421
+  const names = { requestId: 'x-id', deadlineMs: 'x-ms', expectedInstance: 'x-for', callerService: 'x-from', notExecuted: 'x-not-run' }
+  const { clock, gate, refused, executor, leavingNotices } = createFixture({
+    run: async () => {
+      const body = { read: async () => undefined, takeRest: () => undefined }
+      return { kind: 'head', status, headers: ['x-limit', '5', 'x-leaving', '1', 'x-not-run', '1'], unframed: false, body, abort: () => {} }
+    },
+    slots: 10,
+    checkResponse: createResponseCheck(names)
+  })
+  const call = async () => {
+    executor.execute(createIncomingCall(createHead(), () => {}, () => {}))
+    await clock.advance(100)
+  }
+  await call()
+  t.is(gate.load().rate, undefined)
+  t.is(leavingNotices(), 0)
+  status = 503
+  await call()
+  t.is(gate.load().rate?.perSecond, 5)
+  t.is(leavingNotices(), 1)
+  t.deepEqual(refused.map(({ refusal, report }) => [refusal.code, refusal.outcome, report.reachedTarget]),
+    [['no-target', 'not-run', true], ['overloaded', 'not-run', true]])
+})
--- a/packages/node/src/calls/executor.ts
+++ b/packages/node/src/calls/executor.ts
@@ -27,8 +27,8 @@
   targetHeaders?: TargetHeaders
   /** True for a response whose headers show that it belongs to another call; its connection is closed and not used again. */
   isForeignResponse?: (call: IncomingCall, headers: readonly string[]) => boolean
-  /** Refusal for a response that says that the target did not run the call; undefined otherwise. */
-  checkResponse?: (call: IncomingCall, reply: Pick<TargetHead, 'status' | 'headers'>) => Refusal | undefined
+  /** Reads from a response whether the target ran the call; by default each response says so. */
+  checkResponse?: (reply: Pick<TargetHead, 'status' | 'headers'>) => ResponseCheck
   /** Reads what the target says of itself in a response; by default in the headers of orioleslip's own HTTP interface. */
   readNotices?: (headers: readonly string[]) => TargetNotices
   /** Called for each call that is sent to the target. */
@@ -39,6 +39,13 @@
   onRefused?: (call: IncomingCall, refusal: Refusal, report: CallReport) => void
 }
 
+/** What a response says about the run of its call. */
+export type ResponseCheck =
+  | { kind: 'ran' }
+  | { kind: 'not-run', refusal: Refusal }
+  /** Another process than the announced one has responded, and did not run the call. */
+  | { kind: 'misdirected', refusal: Refusal }
+
 type TargetHead = Extract<TargetReply, { kind: 'head' }>
 
 /** Builds the headers of a call to the local target. */
@@ -48,7 +55,7 @@
 export function createExecutor (options: ExecutorOptions) {
   const { target, gate, inbound, guard, clock } = options
   const { targetHeaders = defaultTargetHeaders, isForeignResponse = () => false } = options
-  const { checkResponse = () => undefined, readNotices = createNoticeReader(HEADERS) } = options
+  const { checkResponse = () => ({ kind: 'ran' }), readNotices = createNoticeReader(HEADERS) } = options
   const { onRefused = () => {}, onSent = () => {}, onNotices = () => {} } = options
 
   const reportOf = (call: InboundCall): CallReport => {
@@ -154,13 +161,13 @@
       return refuseCall(call, refusal, { ...reportOf(self), reachedTarget: true })
     }
     if (reply.kind === 'failed') return finishFailed({ call, deadline, self, permit, guardedRun, latencyMs, reply })
-    applyNotices(current.announcement, readNotices(reply.headers))
-    const rejection = checkResponse(call, reply)
-    if (rejection !== undefined) {
+    const check = checkResponse(reply)
+    if (check.kind !== 'misdirected') applyNotices(current.announcement, readNotices(reply.headers))
+    if (check.kind !== 'ran') {
       reply.abort()
-      permit.release({ kind: rejection.outcome === 'not-run' ? 'targetShed' : 'failed', latencyMs: latencyMs() })
-      if (rejection.outcome === 'not-run') releaseClaim(guardedRun)
-      return refuseCall(call, rejection, { ...reportOf(self), reachedTarget: true })
+      permit.release({ kind: check.kind === 'not-run' ? 'targetShed' : 'failed', latencyMs: latencyMs() })
+      releaseClaim(guardedRun)
+      return refuseCall(call, check.refusal, { ...reportOf(self), reachedTarget: true })
     }
     const end = await forwardResponse({ call, guardedRun, reply, report: () => reportOf(self), refuse: refuseCall })
     permit.release(callEndOf({ end, status: reply.status, latencyMs: latencyMs(), self }, deadline))
--- a/packages/node/src/routes/call-headers.ts
+++ b/packages/node/src/routes/call-headers.ts
@@ -1,5 +1,5 @@
-import { headerValue, notRun, type Refusal } from '@orioleslip/core'
-import type { TargetHeaders } from '../calls/executor.js'
+import { headerValue, notRun } from '@orioleslip/core'
+import type { ResponseCheck, TargetHeaders } from '../calls/executor.js'
 import type { IncomingCall } from '../links/incoming-call.js'
 import type { ResponseHead } from '../links/messages.js'
 
@@ -46,11 +46,13 @@
   }
 }
 
-/** Creates the check of a target's response: returns a refusal when the target did not run the call. */
+/** Creates the check of whether a target ran the call to which it responds. */
 export function createResponseCheck (names: CallHeaderNames) {
-  return (_call: IncomingCall, { status, headers }: ResponseHead): Refusal | undefined => {
-    if (status === MISDIRECTED) return notRun('no-target', 'the target has been replaced by another instance', SHED_RETRY_AFTER_S)
-    if (headerValue(headers, names.notExecuted) === undefined) return undefined
-    return notRun('overloaded', `the target did not run the call and responded with status ${status}`, SHED_RETRY_AFTER_S)
+  return ({ status, headers }: Pick<ResponseHead, 'status' | 'headers'>): ResponseCheck => {
+    if (status === MISDIRECTED) {
+      return { kind: 'misdirected', refusal: notRun('no-target', 'the target has been replaced by another instance', SHED_RETRY_AFTER_S) }
+    }
+    if (headerValue(headers, names.notExecuted) === undefined) return { kind: 'ran' }
+    return { kind: 'not-run', refusal: notRun('overloaded', `the target did not run the call and responded with status ${status}`, SHED_RETRY_AFTER_S) }
   }
 }
