Report that the group exists when init is repeated at a VM that has yet to join it

What operators see: `cluster init` whose reply was lost is repeated at another control VM and refused, "already belongs to a group; this VM joins it by itself", although nothing is wrong.

Cause: a group is created once a quorum has its first entry. A VM that has not received it yet asks its peers, and took their membership for a reason to refuse. Then the repeat reported "exists" or "refused" by chance.

Change: the peers' membership gives `exists`.

--- a/packages/control/src/replication/cluster.test.ts
+++ b/packages/control/src/replication/cluster.test.ts
@@ -36,6 +36,20 @@
   t.deepEqual(cluster.violations, [])
 })
 
+// Guards against a repeated init, after a lost reply, that is refused by a VM that has not yet received the first entry of the group.
+test('init on a VM whose peers are in a group reports that the group exists', async (t) => {
+  for (let seed = 1; seed <= 10; seed++) {
+    const cluster = createCluster(3, seed)
+    await cluster.boot()
+    cluster.kill('c3')
+    cluster.vm('c3').disk.erase()
+    await cluster.start('c3')
+    t.is((await cluster.waitFor(cluster.vm('c3').log!.init()))._unsafeUnwrapErr().kind, 'exists', `seed ${seed}`)
+    await cluster.converge()
+    t.deepEqual(cluster.violations, [])
+  }
+})
+
 // Guards against stale reads, entries accepted by a leader that is cut off from both peers, and a replica that returns after failed
 // elections with a higher term and deposes the new leader.
 test('an isolated leader refuses entries and reads, and returns without disturbing the new leader', async (t) => {
--- a/packages/control/src/replication/init.ts
+++ b/packages/control/src/replication/init.ts
@@ -7,7 +7,7 @@
 
 /** `message` names the reason and the remedy. */
 export type InitError =
-  /** This VM belongs to the group already, possibly since a moment ago. */
+  /** The group was created before; this VM belongs to it, or joins it by itself. */
   | { kind: 'exists', message: string }
   /** The group was not created. */
   | { kind: 'initRefused', message: string }
@@ -17,7 +17,7 @@
 // Election timeouts to wait for the first commit; several, because VMs that have just started may not vote yet.
 const CONFIRM_ELECTIONS = 5
 
-const exists = (message: string) => err<void, InitError>({ kind: 'exists', message })
+const exists = (message: string) => err<never, InitError>({ kind: 'exists', message })
 const refuse = (message: string) => err<void, InitError>({ kind: 'initRefused', message })
 
 /**
@@ -54,7 +54,7 @@
   }))
   const members: Member[] = [{ ...self, voter: true }]
   for (const { vmId, reply } of replies) {
-    if (reply?.groupId !== undefined) return refuseMembers(`"${vmId}" already belongs to a group; this VM joins it by itself`)
+    if (reply?.groupId !== undefined) return exists(`"${vmId}" already belongs to a group; this VM joins it by itself`)
     if (reply?.initiating === true) return refuseMembers(`"${vmId}" is creating a group at the same time; wait for its result`)
     if (!vmIds.includes(vmId)) continue
     if (reply === undefined) return refuseMembers(`"${vmId}" does not answer; start it, or leave it out and let it join later`)
