--- a/packages/node/src/target/target-lifecycle.ts
+++ b/packages/node/src/target/target-lifecycle.ts
@@ -59,7 +59,7 @@
   }
 
   // A predecessor of this process may have known that the target leaves; the entry nodes that know it say so in their calls.
-  const applyToldLeaving = (processId: number): void => {
+  const applyReportedLeaving = (processId: number): void => {
     const announcement = target.current()?.announcement
     if (announcement === undefined || isKnownToLeave() || processIdOf(announcement) !== processId) return
     withdraw(announcement.instance)
@@ -86,7 +86,7 @@
     callRefusal: ({ leavingProcess }) => {
       // After a freeze the fleet may have declared this node failed and reassigned its work; it accepts none until it has refuted that.
       if (!isConfirmed()) return notRun('no-target', 'the node is not yet a confirmed member', 1)
-      if (leavingProcess !== undefined) applyToldLeaving(leavingProcess)
+      if (leavingProcess !== undefined) applyReportedLeaving(leavingProcess)
       return availability.targetRefusal()
     },
     onSent: rateLimitLog.sent,
