Refuse a request at its deadline if its body has not arrived

What callers saw: nothing, for as long as they kept the connection. A request whose body stops half-way, or whose chunk line has no end, was neither answered nor given up.

Cause: the body is read into memory before the call is forwarded, and that wait did not end with the deadline; only the attempts after it did. Class of fault: a wait that the deadline of its request doesn't cover.

Change: reading a body ends with the signal of the deadline, and the request is refused as not run. `untilAborted` moved from the forwarder to a module of its own.

Heads, header lines, request lines, chunk extensions and trailers were refused before.

Run: tests of platform, calls, routes and server.

--- a/packages/node/src/calls/call-handler.ts
+++ b/packages/node/src/calls/call-handler.ts
@@ -9,7 +9,7 @@
 import { writeRefusal, writeResponse } from './response-writer.js'
 import { startDeadline, type CallDeadline } from './call-deadline.js'
 import type { DecisionRecords } from './decision-records.js'
-import { newTrace, parseRequest, receiveBody, type ParsedRequest } from './entry-request.js'
+import { bodyMissing, newTrace, parseRequest, receiveBody, type ParsedRequest } from './entry-request.js'
 import type { AttemptRecord, Forwarder, ForwardRequest, ForwardResult } from './forwarder.js'
 import type { InboundCall, InboundCalls } from './inbound-calls.js'
 import type { NodeStats } from './node-stats.js'
@@ -137,7 +137,8 @@
       return refuse(req, res, root.requestId, notRun('body-too-large', `the body has ${parsed.bodyBytes} bytes; at most ${HASHED_BODY_LIMIT_BYTES} are allowed`), [], 0)
     }
     const limit = admitted.claimKey === undefined ? BUFFERED_BODY_LIMIT_BYTES : HASHED_BODY_LIMIT_BYTES
-    const body = await receiveBody(req, parsed.bodyBytes, limit)
+    const body = await receiveBody(req, parsed.bodyBytes, deadline.signal, limit)
+    if (body === undefined) return refuse(req, res, root.requestId, bodyMissing(), [], 0)
     const result = await forwarder.forward({
       root,
       service: parsed.service,
--- a/packages/node/src/calls/call-path.test.ts
+++ b/packages/node/src/calls/call-path.test.ts
@@ -145,6 +145,18 @@
   t.is((await call(pair, 'POST', '/shop/orders', headers, '{}')).text, 'ran')
 })
 
+// Guards against a request that is held until its caller leaves, because its body does not arrive within its time.
+test('a request whose body does not arrive is refused at its deadline', async (t) => {
+  const pair = await httpTarget(t, (_req, res) => res.end('ran'))
+  const { hostname, port } = new URL(pair.url)
+  const socket = connect(Number(port), hostname)
+  t.teardown(() => socket.destroy())
+  const lines = ['POST /shop/orders HTTP/1.1', `host: ${hostname}`, 'orioleslip-customer: c', 'idempotency-key: half', 'orioleslip-timeout-ms: 300', 'content-length: 10']
+  socket.write(`${lines.join('\r\n')}\r\n\r\n12345`)
+  const [chunk] = await once(socket, 'data', { signal: AbortSignal.timeout(3000) }) as [Buffer]
+  t.regex(chunk.toString(), /^HTTP\/1\.1 504 [^]*orioleslip-outcome: not-run/)
+})
+
 // Guards against a second run of an order whose target crashed after receiving it: the target may have executed it before the crash.
 test('an order whose target crashes after the dispatch has an unknown outcome and never runs again', async (t) => {
   let runs = 0
--- a/packages/node/src/calls/entry-request.ts
+++ b/packages/node/src/calls/entry-request.ts
@@ -1,10 +1,11 @@
 import type { IncomingMessage } from 'node:http'
 import {
-  endToEndHeaders, headerValue, HEADERS, newTraceId, notRun, parseTraceParent, type Refusal, type TraceParent
+  endToEndHeaders, headerValue, HEADERS, newTraceId, notRun, parseTraceParent, type CancelSignal, type Refusal, type TraceParent
 } from '@orioleslip/core'
 import { err, ok, type Result } from 'neverthrow'
 import { parseIdempotencyKey } from '../idempotency/idempotency-key.js'
 import { BUFFERED_BODY_LIMIT_BYTES, type RequestBody } from './request-body.js'
+import { untilAborted } from './until-aborted.js'
 
 /** Fields of an HTTP request from a caller or from the local target. */
 export type ParsedRequest = {
@@ -78,21 +79,35 @@
 
 /**
  * Receives the body of a request: bodies of known length up to `bufferLimitBytes` in memory, others as a stream with backpressure. Rejects
- * if the caller disconnects in the middle of a buffered body.
+ * if the caller disconnects in the middle of a buffered body, and resolves with undefined if `signal` aborts first.
  */
 export async function receiveBody (
-  req: IncomingMessage, lengthBytes: number | undefined, bufferLimitBytes = BUFFERED_BODY_LIMIT_BYTES
-): Promise<RequestBody> {
+  req: IncomingMessage, lengthBytes: number | undefined, signal: CancelSignal, bufferLimitBytes = BUFFERED_BODY_LIMIT_BYTES
+): Promise<RequestBody | undefined> {
   if (lengthBytes === 0) return { kind: 'none' }
   if (lengthBytes === undefined || lengthBytes > bufferLimitBytes) {
     return { kind: 'stream', read: createReader(req), ...(lengthBytes === undefined ? {} : { lengthBytes }) }
   }
-  return await bufferBody(req, lengthBytes, bufferLimitBytes)
+  return await bufferBody(req, lengthBytes, signal, bufferLimitBytes)
 }
 
-/** Reads a body into memory, so that the call can be retried; a body over `limitBytes` is returned as a stream instead. */
-export async function bufferBody (req: IncomingMessage, lengthBytes: number | undefined, limitBytes: number): Promise<RequestBody> {
+/**
+ * Reads a body into memory, so that the call can be retried; a body over `limitBytes` is returned as a stream instead. Resolves with
+ * undefined if `signal` aborts first.
+ */
+export async function bufferBody (
+  req: IncomingMessage, lengthBytes: number | undefined, signal: CancelSignal, limitBytes: number
+): Promise<RequestBody | undefined> {
   if (lengthBytes === 0) return { kind: 'none' }
+  return await untilAborted(readBody(req, lengthBytes, limitBytes), signal)
+}
+
+/** Refusal of a request whose body had not arrived when its deadline passed or its caller left. */
+export function bodyMissing (): Refusal {
+  return notRun('deadline-exceeded', 'the deadline passed, or the caller left, before the body of the request had arrived')
+}
+
+async function readBody (req: IncomingMessage, lengthBytes: number | undefined, limitBytes: number): Promise<RequestBody> {
   const read = createReader(req)
   const chunks: Uint8Array[] = []
   let bytes = 0
--- a/packages/node/src/calls/forwarder.ts
+++ b/packages/node/src/calls/forwarder.ts
@@ -1,6 +1,6 @@
 import {
   unknownOutcome,
-  type CancelSignal, type Clock, type MemberRecord, type Operation, type Refusal, type RequestContext, type Router, type TargetVerdict
+  type Clock, type MemberRecord, type Operation, type Refusal, type RequestContext, type Router, type TargetVerdict
 } from '@orioleslip/core'
 import type { ByteQueue } from '../links/byte-queue.js'
 import type { IncomingCall } from '../links/incoming-call.js'
@@ -15,6 +15,7 @@
 import type { InterRegionBudget, VolumeReservation } from '../routing/inter-region-budget.js'
 import { createLeavingProcesses } from '../routing/leaving-processes.js'
 import { bodyBytes, sendBody, type RequestBody } from './request-body.js'
+import { untilAborted } from './until-aborted.js'
 
 /** A call to be forwarded to a target of a service. */
 export type ForwardRequest = {
@@ -222,17 +223,8 @@
   discard().catch(() => undefined)
 }
 
-/** Resolves with the result of a promise, or with undefined if the signal aborts first. */
-function untilAborted<T> (promise: Promise<T>, signal: CancelSignal): Promise<T | undefined> {
-  if (signal.aborted) return Promise.resolve(undefined)
-  return new Promise((resolve, reject) => {
-    const onAbort = () => resolve(undefined)
-    signal.addEventListener('abort', onAbort, { once: true })
-    promise.then(resolve, reject).finally(() => signal.removeEventListener('abort', onAbort))
-  })
-}
-
-const NO_REPORT: CallReport = { pathLevel: 0, regionBytes: 0 }
+/** Report of a call that reached no target. */
+export const NO_REPORT: CallReport = { pathLevel: 0, regionBytes: 0 }
 
 /** Fields of a call head that differ between the attempts of a call. */
 type AttemptFields = { deferBody: boolean, claim: CallHead['claim'], leavingProcess: number | undefined }
--- a/packages/node/src/routes/route-handler.ts
+++ b/packages/node/src/routes/route-handler.ts
@@ -6,8 +6,8 @@
 import { err, ok, type Result } from 'neverthrow'
 import { writeRefusal, writeResponse } from '../calls/response-writer.js'
 import { startDeadline, type CallDeadline } from '../calls/call-deadline.js'
-import { bodyLength, bufferBody } from '../calls/entry-request.js'
-import type { AttemptRecord, Forwarder, ForwardResult } from '../calls/forwarder.js'
+import { bodyLength, bodyMissing, bufferBody } from '../calls/entry-request.js'
+import { NO_REPORT, type AttemptRecord, type Forwarder, type ForwardResult } from '../calls/forwarder.js'
 import { countOpenRequests, type CountedHandler } from '../calls/open-requests.js'
 import { withoutSetHeaders, type CallHeaderNames } from './call-headers.js'
 import { clientRefusal } from './client-refusal.js'
@@ -91,7 +91,8 @@
     req: IncomingMessage, admitted: Admitted, root: RequestContext, service: string, deadline: CallDeadline
   ): Promise<ForwardResult> => {
     const { route } = admitted
-    const body = await bufferBody(req, admitted.bodyBytes, BUFFERED_BODY_BYTES)
+    const body = await bufferBody(req, admitted.bodyBytes, deadline.signal, BUFFERED_BODY_BYTES)
+    if (body === undefined) return { kind: 'refused', refusal: bodyMissing(), attempts: [], report: NO_REPORT }
     options.budget.firstSent(service)
     return await forwarder.forward({
       root,
