Wait for the close of a connection in tests in one way that an error doesn't end

Cause: `once(socket, 'close')` of node:events rejects when the socket reports an error first. Tests that write on a connection while the node closes it fail by chance; seen once in the test of endless clients ("write EPIPE"), and possible in two more files that wait in this way: planned-stop and request-end.

--- /dev/null
+++ b/packages/core/src/testing/index.ts
@@ -0,0 +1,2 @@
+export * from './loopback-host.js'
+export * from './socket-closed.js'
--- a/packages/node/src/calls/request-end.test.ts
+++ b/packages/node/src/calls/request-end.test.ts
@@ -1,7 +1,7 @@
-import { once } from 'node:events'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { connect, type Socket } from 'node:net'
 import { systemClock } from '@orioleslip/core'
+import { socketClosed } from '@orioleslip/core/testing'
 import test, { type ExecutionContext } from 'ava'
 import { startCallerServer } from '../server/caller-server.js'
 import { startDeadline } from './call-deadline.js'
@@ -38,7 +38,8 @@
   const sending = setInterval(() => socket.write(CHUNK), 20)
   t.teardown(() => clearInterval(sending))
   socket.resume()
-  await t.notThrowsAsync(once(socket, 'close', { signal: AbortSignal.timeout(10 * DEADLINE_MS) }))
+  const isClosed = await Promise.race([socketClosed(socket).then(() => true), systemClock.sleep(10 * DEADLINE_MS).then(() => false)])
+  t.true(isClosed)
 })
 
 test('the connection of an answered request stays open once its body has ended', async (t) => {
@@ -55,7 +56,7 @@
   const socket = await connectToEarlyResponder(t, body)
   const sending = setInterval(() => socket.write(CHUNK), 20)
   t.teardown(() => clearInterval(sending))
-  const closed = new Promise((resolve) => socket.once('close', resolve))
+  const closed = socketClosed(socket)
   await systemClock.sleep(LATE_MS)
   let receivedBytes = 0
   socket.on('data', (chunk: Buffer) => { receivedBytes += chunk.length })
