Let a child call's deadline drop its listener on the parent when the child ends

Cause: the handler of calls in fleets with plans registered the parent's cancellation by itself, a second copy of what startDeadline does with a parent, and never took the listener back: a call with many child calls kept one for each of them until its own end.

--- a/packages/node/src/calls/call-handler.ts
+++ b/packages/node/src/calls/call-handler.ts
@@ -124,10 +124,7 @@
     const wanted = parsed.timeoutMs ?? admitted.op?.timeoutMs ?? UNLISTED_TIMEOUT_MS
     if (admitted.origin.kind === 'entry') return startDeadline(wanted, clock.nowMs)
     const { parent } = admitted.origin
-    const deadline = startDeadline(Math.min(wanted, parent.deadlineMs - clock.nowMs()), clock.nowMs)
-    if (parent.signal.aborted) deadline.cancel()
-    else parent.signal.addEventListener('abort', deadline.cancel, { once: true })
-    return deadline
+    return startDeadline(Math.min(wanted, parent.deadlineMs - clock.nowMs()), clock.nowMs, parent.signal)
   }
 
   const serve = async (
