--- a/packages/node/src/links/links.test.ts
+++ b/packages/node/src/links/links.test.ts
@@ -2,7 +2,9 @@
 import { connect, createServer, type AddressInfo, type Socket } from 'node:net'
 import { once } from 'node:events'
 import { notRun } from '@orioleslip/core'
+import { socketClosed } from '@orioleslip/core/testing'
 import { readAll } from './byte-queue.js'
+import { DIAL_TIMEOUT_MS } from './dial.js'
 import { MAX_HANDSHAKE_FRAME_BYTES } from './frames.js'
 import type { IncomingCall } from './incoming-call.js'
 import { listenForPeers } from './listener.js'
@@ -171,6 +173,23 @@
   t.true(socket.bytesRead < MAX_HANDSHAKE_FRAME_BYTES)
 })
 
+// Guards against connections and memory that strangers hold: a connection on which a frame never ends proves nothing of its sender.
+test('before the handshake has ended, a frame that never ends does not keep its connection open', async (t) => {
+  const pair = await createPeerPair(t, () => t.fail())
+  const socket = connect(pair.address.port, '127.0.0.1')
+  socket.on('error', () => {})
+  const header = Buffer.alloc(9)
+  header.writeUInt32BE(MAX_HANDSHAKE_FRAME_BYTES, 0)
+  header.writeUInt8(1, 4)
+  socket.write(header)
+  const startMs = performance.now()
+  const sending = setInterval(() => socket.write('x'), 10)
+  await socketClosed(socket)
+  clearInterval(sending)
+  t.true(performance.now() - startMs < 2 * DIAL_TIMEOUT_MS)
+  t.deepEqual(pair.rejected, ['handshake timed out'])
+})
+
 /** Starts a proxy to a peer listener that can hold back all bytes of the connections that exist at that moment. */
 async function startProxy (t: ExecutionContext, to: { host: string, port: number }) {
   const pairs: Array<[Socket, Socket]> = []
