--- a/packages/node/src/target/endless-target.test.ts
+++ b/packages/node/src/target/endless-target.test.ts
@@ -4,6 +4,7 @@
 import { runInNewContext } from 'node:vm'
 import test, { type ExecutionContext } from 'ava'
 import { systemClock } from '@orioleslip/core'
+import { socketClosed } from '@orioleslip/core/testing'
 import { startFaultyTarget, TIMEOUT_MS } from '../testing/faulty-target.js'
 
 const OK = 'HTTP/1.1 200 OK\r\nX-Id: a\r\n'
@@ -17,7 +18,7 @@
 
 /** Writes `piece` again and again, as fast as the reader takes it, until the connection is closed; returns the bytes that were taken. */
 async function writeWithoutEnd (socket: Socket, start: string, piece: string): Promise<number> {
-  const closed = new Promise((resolve) => socket.once('close', resolve))
+  const closed = socketClosed(socket)
   socket.write(start)
   while (!socket.destroyed) {
     const isTaken = socket.write(piece)
