Log the state of the replica with each read and replacement of the routes

The lines routes-read and routes-replace now have role, term, commit index, lease and voters of the replica. No decision changes.

--- a/packages/control/src/routes/routes-service.ts
+++ b/packages/control/src/routes/routes-service.ts
@@ -34,6 +34,13 @@
 export function createRoutesService (options: RoutesServiceOptions): RoutesService {
   const { routes, machine, confirm, minVoters, log } = options
 
+  /** What this replica believes, so that the logs show on which state a reply was based. */
+  const position = () => {
+    const { role, term, commitIndex, leaseMs, members } = routes.status()
+    const voters = members.filter((member) => member.voter).map((member) => member.vmId)
+    return { role, term, commitIndex, leaseMs: Math.round(leaseMs), voters }
+  }
+
   const replace = async ({ baseRevision, revision, list }: Replacement): Promise<ReplaceReply> => {
     const voters = routes.status().members.filter((member) => member.voter).length
     if (voters < minVoters) return { kind: 'unavailable', message: `the routes log group has ${voters} voters and needs ${minVoters}; wait until the other control VMs have joined` }
@@ -47,11 +54,14 @@
     replace: async (replacement) => {
       const answer = await replace(replacement)
       const { baseRevision, revision, list } = replacement
-      log.info({ event: 'routes-replace', baseRevision, revision, routes: list.routes.length, answer }, 'processed a replacement of the routes')
+      log.info({ event: 'routes-replace', baseRevision, revision, routes: list.routes.length, answer, replica: position() }, 'processed a replacement of the routes')
       return answer
     },
     current: async () => {
       const confirmed = await confirm()
+      const revision = machine.document()?.revision ?? 0
+      const problem = confirmed.isErr() ? { problem: confirmed.error.message } : {}
+      log.info({ event: 'routes-read', revision, replica: position(), ...problem }, 'processed a read of the routes')
       return confirmed.isErr() ? { kind: 'unavailable', message: confirmed.error.message } : { kind: 'current', document: machine.document() }
     }
   }
