Confirm reads of operators with a quorum in place of the lease

What callers saw: a read of the routes returned an older version than had been acknowledged, by a control VM that leads. Cause: a leader answered reads for as long as its lease lay ahead on the monotonic clock. That clock does not count the time for which a VM is suspended, so that a leader that resumes after seconds believed its lease for up to 500 ms more, while another leader had accepted changes. A read that waited in its socket got the old version. Evidence: two new tests of cluster.test.ts (wall clock left alone, and set back by 10 s during the suspension) failed before: the read was confirmed without the entry that the other leader had accepted. The tests of frozen processes did not see it: their clock goes on. Class: a permission that is measured by a clock that may stop. Change: a read of an operator starts a round of messages to the members, and is answered once a quorum has replied in the same term to messages sent after the read arrived. Polls of nodes keep to the lease: a round for each poll would be up to 96 more messages a second with 24 nodes, and nodes never go back to an older revision. Why it works: a later leader needs the votes of a quorum, one of whom then has a higher term and does not confirm the old leader. After: the two tests and the others of packages/control pass.

--- a/packages/control/src/api/services.test.ts
+++ b/packages/control/src/api/services.test.ts
@@ -24,11 +24,11 @@
 test('held polls share one confirmation per second, and all of them report a lost quorum', async (t) => {
   const { node, lists: log, clock: anyClock } = createServices()
   const clock = anyClock as ReturnType<typeof createFakeClock>
-  const { confirmCurrent } = log
+  const { confirmLeased } = log
   let checks = 0
-  log.confirmCurrent = () => {
+  log.confirmLeased = () => {
     checks++
-    return confirmCurrent()
+    return confirmLeased()
   }
   const polls: Array<ReturnType<typeof node.since>> = []
   for (let i = 0; i < 100; i++) {
@@ -125,7 +125,7 @@
 // an edit that was accepted in between.
 test('a shared confirmation starts after the call', async (t) => {
   const pending: Array<(res: Result<void, NotCurrent>) => void> = []
-  const confirm = createSharedConfirm({ confirmCurrent: () => new ResultAsync(new Promise((resolve) => pending.push(resolve))) })
+  const confirm = createSharedConfirm(() => new ResultAsync(new Promise((resolve) => pending.push(resolve))))
   const first = confirm()
   await Promise.resolve()
   const later = [confirm(), confirm()]
--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -73,7 +73,7 @@
   const namedGroups = [...groups].map(([name, group]) => ({ name, log: group }))
 
   const stopping = new AbortController()
-  const confirm = createSharedConfirm(listsLog)
+  const confirm = createSharedConfirm(() => listsLog.confirmCurrent())
   const reports = createNodeReports(clock)
   const vmReport = (): VmReport => ({
     vmId, revision: machine.document().revision, groups: [...groups.values()].map((group) => group.status()), nodes: reports.list()
@@ -102,7 +102,14 @@
       auditPage: trail.page,
       auditHead: machine.auditHead,
       auditVerify: trail.verify,
-      node: createNodeService({ lists: listsLog, machine, confirm, reports, clock, stopping: stopping.signal }),
+      node: createNodeService({
+        lists: listsLog,
+        machine,
+        confirm: createSharedConfirm(() => listsLog.confirmLeased()),
+        reports,
+        clock,
+        stopping: stopping.signal
+      }),
       replicaMessage: async (group, message) => {
         const target = groups.get(group)
         if (target === undefined) throw new Error(`there is no log group "${group}" on this control VM; run the same version on all control VMs`)
--- a/packages/control/src/replication/cluster.test.ts
+++ b/packages/control/src/replication/cluster.test.ts
@@ -114,6 +114,25 @@
   t.deepEqual(cluster.violations, [])
 })
 
+// Guards against stale reads from a leader whose VM was suspended: its monotonic clock did not count that time, so that its lease seems
+// valid, while another leader has accepted entries. Wall clocks are no protection, as they may have been set back meanwhile.
+for (const wallStepMs of [0, -10_000]) {
+  test(`a leader that resumes from a suspension confirms no read; its wall clock was set by ${wallStepMs} ms`, async (t) => {
+    const cluster = createCluster(3, 6)
+    const oldLeader = await cluster.boot()
+    cluster.suspend(oldLeader.vmId)
+    await cluster.waitUntil(() => cluster.leader() !== undefined, 'another leader')
+    await cluster.propose(cluster.leader()!.vmId, 'a')
+    oldLeader.process.clock.stepWall(wallStepMs)
+    cluster.resume(oldLeader.vmId)
+    // The read is made before any message about the new leader arrives.
+    const current = await cluster.waitFor(oldLeader.log!.confirmCurrent())
+    t.true(current.isErr() || oldLeader.machine.applied.includes('a'))
+    await cluster.converge()
+    t.deepEqual(oldLeader.machine.applied, ['a'])
+  })
+}
+
 // Guards against repairs that lose accepted entries or need the lost disk: after the first replica has rejoined with an empty disk, a
 // second disk is lost, so the entries must be on the repaired replica.
 test('a lost disk is replaced, after which any second replica may be lost with its disk', async (t) => {
--- a/packages/control/src/replication/handler.ts
+++ b/packages/control/src/replication/handler.ts
@@ -3,7 +3,7 @@
 import { handleJoin } from './membership.js'
 import type { ReplicationMessage, ReplicationReply } from './messages.js'
 import { handleForward } from './proposals.js'
-import { readIndex } from './reads.js'
+import { confirmedIndex, leasedIndex } from './reads.js'
 import { failureOf, refusedReply, type Replica } from './replica.js'
 
 /** Handles a message from another replica and returns the reply. */
@@ -17,7 +17,7 @@
     case 'append': return await withLock(replica, () => handleAppend(replica, from.vmId, body))
     case 'snapshot': return await withLock(replica, () => handleSnapshot(replica, from.vmId, body))
     case 'readIndex': {
-      const index = readIndex(replica)
+      const index = body.basis === 'lease' ? leasedIndex(replica) : await confirmedIndex(replica)
       return { kind: 'readIndex', ...(index === undefined ? {} : { index }) }
     }
     case 'forward': return await handleForward(replica, body)
@@ -30,7 +30,7 @@
       storageId: replica.self.storageId,
       ...(replica.config === undefined ? {} : { groupId: replica.config.groupId }),
       initiating: replica.initiating,
-      hasLeader: readIndex(replica) !== undefined
+      hasLeader: leasedIndex(replica) !== undefined
     }
   }
 }
--- a/packages/control/src/replication/leader.ts
+++ b/packages/control/src/replication/leader.ts
@@ -23,7 +23,9 @@
     awaitingCommit: new Map(),
     joins: new Map(),
     proposalQueued: createNotifier(clock),
-    entriesWritten: createNotifier(clock),
+    readRound: 0,
+    sendDue: createNotifier(clock),
+    memberReplied: createNotifier(clock),
     ended: false
   }
   replica.role = 'leader'
@@ -43,7 +45,8 @@
 function startReplicators (replica: Replica, leadership: Leadership) {
   for (const { vmId, storageId } of replica.config?.members ?? []) {
     if (storageId === replica.self.storageId || leadership.progress.has(storageId)) continue
-    const progress = { vmId, storageId, nextIndex: replica.store.log.lastIndex() + 1, matchIndex: 0, contactMs: -Infinity }
+    const nextIndex = replica.store.log.lastIndex() + 1
+    const progress = { vmId, storageId, nextIndex, matchIndex: 0, contactMs: -Infinity, confirmedRound: 0 }
     leadership.progress.set(storageId, progress)
     startTask(replica, runHeartbeat(replica, leadership, progress))
     startTask(replica, runReplicator(replica, leadership, progress, () => advanceCommit(replica, leadership)))
@@ -88,7 +91,7 @@
   }
   if (leadership.firstIndex === 0) leadership.firstIndex = firstIndex
   for (const [i, proposal] of batch.entries()) leadership.awaitingCommit.set(firstIndex + i, proposal)
-  leadership.entriesWritten.notify()
+  leadership.sendDue.notify()
   advanceCommit(replica, leadership)
 }
 
--- a/packages/control/src/replication/messages.ts
+++ b/packages/control/src/replication/messages.ts
@@ -1,5 +1,11 @@
 import type { LogEntry } from '../storage/entry.js'
 
+/**
+ * What confirms that a read is current. `quorum`: replies of a quorum to messages that the leader sends after the read has arrived,
+ * whatever the clocks say. `lease`: the lease of the leader, which needs no messages.
+ */
+export type ReadBasis = 'quorum' | 'lease'
+
 /** A message between two replicas of a group. All fields are JSON-compatible. */
 export type ReplicationMessage = {
   group: string
@@ -34,7 +40,7 @@
   | VoteRequest
   | AppendRequest
   | SnapshotRequest
-  | { kind: 'readIndex' }
+  | { kind: 'readIndex', basis: ReadBasis }
   /** `term` is the term in which the sender follows the receiver, so that a delayed copy has no effect in a later leadership. */
   | ForwardRequest
   | { kind: 'join' }
--- a/packages/control/src/replication/replica.ts
+++ b/packages/control/src/replication/replica.ts
@@ -37,6 +37,8 @@
   matchIndex: number
   /** When the latest message with a reply was sent; the lease is measured from the sending, not from the reply. */
   contactMs: number
+  /** The latest round of reads before which that message was sent. */
+  confirmedRound: number
 }
 
 /** State of a leader during its term. */
@@ -55,8 +57,12 @@
   joins: Map<string, string>
   /** Wakes the writer when proposals were queued. */
   proposalQueued: Notifier
-  /** Wakes the replicators when entries were written. */
-  entriesWritten: Notifier
+  /** Rounds of messages that reads have asked for, to confirm that no other leader was elected before them. */
+  readRound: number
+  /** Wakes the replicators when entries were written or a read needs a round of messages. */
+  sendDue: Notifier
+  /** Wakes the reads that wait for their round when a member replied. */
+  memberReplied: Notifier
   ended: boolean
 }
 
--- a/packages/control/src/replication/replicated-log.ts
+++ b/packages/control/src/replication/replicated-log.ts
@@ -71,7 +71,8 @@
   startTask(replica, runJoin(replica))
   return ok({
     propose: (cmd) => new ResultAsync(propose(replica, cmd) as Promise<Result<Reply, ProposeError>>),
-    confirmCurrent: () => new ResultAsync(confirmCurrent(replica)),
+    confirmCurrent: () => new ResultAsync(confirmCurrent(replica, 'quorum')),
+    confirmLeased: () => new ResultAsync(confirmCurrent(replica, 'lease')),
     status: () => statusOf(replica),
     onApplied: (listener) => {
       replica.listeners.add(listener)
--- a/packages/control/src/replication/replicator.ts
+++ b/packages/control/src/replication/replicator.ts
@@ -8,9 +8,9 @@
   while (isActive(replica, leadership, progress)) {
     await clock.sleep(settings.heartbeatMs)
     if (leadership.ended || clock.nowMs() - progress.contactMs <= settings.heartbeatMs) continue
-    const sentMs = clock.nowMs()
+    const sent = startSending(replica, leadership)
     const reply = await sendRequest(replica, progress.vmId, { kind: 'heartbeat', term: leadership.term }, progress.storageId)
-    if (!leadership.ended && reply?.kind === 'heartbeat') recordContact(replica, leadership, progress, reply.term, sentMs)
+    if (!leadership.ended && reply?.kind === 'heartbeat') recordContact(replica, leadership, progress, reply.term, sent)
   }
 }
 
@@ -23,10 +23,10 @@
       : await sendEntries(replica, leadership, progress)
     if (leadership.ended) return
     onMatch()
-    const isBehind = progress.nextIndex <= store.log.lastIndex()
+    const isBehind = progress.nextIndex <= store.log.lastIndex() || progress.confirmedRound < leadership.readRound
     // A message without a usable reply is retried after the heartbeat interval.
     if (!hasReplied) await replica.clock.sleep(settings.heartbeatMs)
-    else if (!isBehind) await leadership.entriesWritten.wait(settings.heartbeatMs)
+    else if (!isBehind) await leadership.sendDue.wait(settings.heartbeatMs)
   }
   if (leadership.progress.get(progress.storageId) === progress) leadership.progress.delete(progress.storageId)
 }
@@ -39,17 +39,17 @@
 
 /** Sends the entries from `nextIndex` on, or none as a heartbeat; false without a usable reply. */
 async function sendEntries (replica: Replica, leadership: Leadership, progress: Progress): Promise<boolean> {
-  const { store, settings, clock, commitIndex } = replica
+  const { store, settings, commitIndex } = replica
   const prevIndex = progress.nextIndex - 1
   const entries = store.log.slice(progress.nextIndex, settings.batchBytes)
-  const sentMs = clock.nowMs()
+  const sent = startSending(replica, leadership)
   const reply = await sendRequest(replica, progress.vmId, {
     kind: 'append', term: leadership.term, prevIndex, prevTerm: termAt(replica, prevIndex)!, entries, commitIndex
   }, progress.storageId)
   if (leadership.ended || reply === undefined) return false
   if (reply.kind === 'refused' && reply.reason === 'identity') await addJoinOfReplacedDisk(replica, leadership, progress)
   if (reply.kind !== 'append') return false
-  if (!recordContact(replica, leadership, progress, reply.term, sentMs)) return false
+  if (!recordContact(replica, leadership, progress, reply.term, sent)) return false
   if (reply.ok) {
     progress.matchIndex = Math.max(progress.matchIndex, reply.matchIndex)
     progress.nextIndex = progress.matchIndex + 1
@@ -59,20 +59,27 @@
   return true
 }
 
+/** When a message was sent, and which reads had asked for a round by then. */
+type Sending = { sentMs: number, round: number }
+
+const startSending = ({ clock }: Replica, { readRound }: Leadership): Sending => ({ sentMs: clock.nowMs(), round: readRound })
+
 /** Records the time of contact; false when the peer is in another term, which ends the leadership if it is higher. */
-function recordContact (replica: Replica, leadership: Leadership, progress: Progress, term: number, sentMs: number): boolean {
+function recordContact (replica: Replica, leadership: Leadership, progress: Progress, term: number, sent: Sending): boolean {
   if (term > leadership.term) {
     adoptTerm(replica, term)
     return false
   }
   if (term !== leadership.term) return false
-  progress.contactMs = Math.max(progress.contactMs, sentMs)
+  progress.contactMs = Math.max(progress.contactMs, sent.sentMs)
+  progress.confirmedRound = Math.max(progress.confirmedRound, sent.round)
+  leadership.memberReplied.notify()
   return true
 }
 
 /** Sends the latest snapshot in chunks; false when it can't be read, or when the peer stops replying or refuses a chunk. */
 async function sendSnapshot (replica: Replica, leadership: Leadership, progress: Progress): Promise<boolean> {
-  const { store, settings, clock } = replica
+  const { store, settings } = replica
   const lastIndex = store.snapshot()?.lastIndex ?? 0
   const read = await store.readSnapshot()
   if (read.isErr()) {
@@ -82,13 +89,13 @@
   const data = read.value
   replica.logger.info({ event: 'snapshot-sent', group: replica.group, vmId: progress.vmId, lastIndex, bytes: data.length }, 'sending a snapshot')
   for (let offset = 0, isInstalled = false; !isInstalled;) {
-    const sentMs = clock.nowMs()
+    const sent = startSending(replica, leadership)
     const chunk = data.subarray(offset, offset + settings.chunkBytes).toString('base64')
     const reply = await sendRequest(replica, progress.vmId, {
       kind: 'snapshot', term: leadership.term, lastIndex, offset, totalBytes: data.length, data: chunk
     }, progress.storageId, settings.proposeTimeoutMs)
     if (leadership.ended || reply?.kind !== 'snapshot') return false
-    if (!recordContact(replica, leadership, progress, reply.term, sentMs)) return false
+    if (!recordContact(replica, leadership, progress, reply.term, sent)) return false
     if (!hasAdvanced(reply, offset, data.length)) return false
     offset = reply.nextOffset
     isInstalled = reply.installed
--- a/packages/control/src/replication/roles.ts
+++ b/packages/control/src/replication/roles.ts
@@ -43,7 +43,8 @@
     resolve(err({ kind: 'notLeader', message: `the leader stepped down before the entry was written (${reason}); try again` }))
   }
   leadership.proposalQueued.notify()
-  leadership.entriesWritten.notify()
+  leadership.sendDue.notify()
+  leadership.memberReplied.notify()
   replica.stateChanged.notify()
 }
 
--- a/packages/control/src/replication/testing/cluster.ts
+++ b/packages/control/src/replication/testing/cluster.ts
@@ -4,6 +4,7 @@
 import type { ReplicationSettings } from '../settings.js'
 import { createFakeNetwork } from './network.js'
 import { createRecorder, type Recorder } from './recorder.js'
+import { createProcessClock, type ProcessClock } from './process-clock.js'
 import { createSimulatedClock } from './simulated-clock.js'
 
 /** A simulated control VM; its disk outlives its processes. */
@@ -12,7 +13,7 @@
   disk: FakeDisk
   log: ControlLog<string, number> | undefined
   machine: Recorder
-  process: { isDead: boolean, isFrozen: boolean }
+  process: { isDead: boolean, isFrozen: boolean, clock: ProcessClock }
   /** Runs before each operation on the disk; may delay it or kill the process. */
   onDiskOperation: (() => Promise<void> | void) | undefined
   /** Why the last start failed. */
@@ -39,7 +40,7 @@
     disk: createFakeDisk(),
     log: undefined,
     machine: createRecorder(),
-    process: { isDead: true, isFrozen: false },
+    process: { isDead: true, isFrozen: false, clock: createProcessClock(clock) },
     onDiskOperation: undefined,
     startError: undefined
   }))
@@ -47,7 +48,7 @@
 
   async function start (vmId: string) {
     const fakeVm = vm(vmId)
-    const process = { isDead: false, isFrozen: false }
+    const process = { isDead: false, isFrozen: false, clock: createProcessClock(clock) }
     // A dead process never resumes, a frozen one resumes later.
     const pauseIfStopped = async () => {
       if (process.isDead) await new Promise<never>(() => {})
@@ -79,9 +80,9 @@
         await pauseIfStopped()
       }),
       clock: {
-        ...clock,
+        ...process.clock,
         sleep: async (ms, signal) => {
-          await clock.sleep(ms, signal)
+          await process.clock.sleep(ms, signal)
           await pauseIfStopped()
         }
       },
@@ -154,6 +155,20 @@
     fakeVm.disk.crash(isTorn ? random : undefined)
   }
 
+  /** Freezes the process and stops its monotonic clock, as when its VM is suspended. */
+  function suspend (vmId: string) {
+    const { process } = vm(vmId)
+    process.isFrozen = true
+    process.clock.stop()
+  }
+
+  /** Ends a freeze or a suspension. */
+  function resume (vmId: string) {
+    const { process } = vm(vmId)
+    process.isFrozen = false
+    process.clock.resume()
+  }
+
   const leader = () => vms.find(({ log, process }) => !process.isDead && !process.isFrozen && (log?.status().leaseMs ?? 0) > 0)
   const isSettled = () => {
     const voters = leader()?.log?.status().members.filter(({ voter }) => voter) ?? []
@@ -169,6 +184,8 @@
     vm,
     start,
     kill,
+    suspend,
+    resume,
     advance,
     waitFor,
     waitUntil,
--- a/packages/control/src/routes/routes-control.ts
+++ b/packages/control/src/routes/routes-control.ts
@@ -47,7 +47,6 @@
   })
   if (opened.isErr()) return fail(opened.error.message)
   const routes = opened.value
-  const confirm = createSharedConfirm(routes)
   const reports = createNodeReports(clock)
   const revision = () => machine.document()?.revision ?? -1
   const server = await startApiServer({
@@ -61,7 +60,7 @@
       node: createNodeService({
         lists: routes,
         machine: { since: machine.since, revision },
-        confirm,
+        confirm: createSharedConfirm(() => routes.confirmLeased()),
         reports,
         clock,
         stopping: stopping.signal
@@ -80,7 +79,7 @@
   const metricsLoop = runMetrics(report, metrics, clock, stopping.signal)
   log.info({ event: 'start', vmId: vm.id, address: self, dataDir: control.dataDir }, 'control process is up')
   return ok({
-    service: createRoutesService({ routes, machine, confirm, minVoters: voters, log }),
+    service: createRoutesService({ routes, machine, confirm: createSharedConfirm(() => routes.confirmCurrent()), minVoters: voters, log }),
     stop: async () => {
       stopping.abort()
       await server.value.stop()
--- a/packages/control/src/testing/api-fixture.ts
+++ b/packages/control/src/testing/api-fixture.ts
@@ -20,9 +20,16 @@
   const machine = createListsStateMachine()
   const lists = createFakeLog(machine)
   const stopping = new AbortController()
-  const confirm = createSharedConfirm(lists)
+  const confirm = createSharedConfirm(() => lists.confirmCurrent())
   const reports = createNodeReports(clock)
-  const node = createNodeService({ lists, machine, confirm, reports, clock, stopping: stopping.signal })
+  const node = createNodeService({
+    lists,
+    machine,
+    confirm: createSharedConfirm(() => lists.confirmLeased()),
+    reports,
+    clock,
+    stopping: stopping.signal
+  })
   const operator = createOperatorService({ vmId: 'c1', lists, machine, confirm, clock, log })
   return { log, machine, lists, stopping, confirm, reports, node, operator, clock, random: createSeededRandom(1) }
 }
--- a/packages/control/src/testing/fake-log.ts
+++ b/packages/control/src/testing/fake-log.ts
@@ -1,11 +1,11 @@
-import type { ProposeError, ReplicatedLog, ReplicaStatus, StateMachine } from '@orioleslip/core'
+import type { NotCurrent, ProposeError, ReplicatedLog, ReplicaStatus, StateMachine } from '@orioleslip/core'
 import { errAsync, okAsync } from 'neverthrow'
 
 /** A log for tests that applies commands at once, in memory, and fails on request. */
 export type FakeLog<Command, Reply> = ReplicatedLog<Command, Reply> & {
   /** Commands in the order in which they were applied. */
   applied: Command[]
-  /** When false, `confirmCurrent` fails like on a replica without contact to a quorum. */
+  /** When false, `confirmCurrent` and `confirmLeased` fail like on a replica without contact to a quorum. */
   current: boolean
   /** The next proposals fail with these errors, in order, and are not applied. */
   failures: ProposeError[]
@@ -17,6 +17,7 @@
   const status: ReplicaStatus = {
     group: 'lists', vmId: 'c1', storageId: 's1', role: 'leader', term: 1, commitIndex: 0, lastIndex: 0, members: [], leaseMs: 500
   }
+  const confirm = () => log.current ? okAsync<void, NotCurrent>(undefined) : errAsync<void, NotCurrent>({ kind: 'notCurrent', message: 'no contact with a quorum' })
   const log: FakeLog<Command, Reply> = {
     applied: [],
     current: true,
@@ -31,7 +32,8 @@
       for (const listener of listeners) listener(index)
       return okAsync(reply)
     },
-    confirmCurrent: () => log.current ? okAsync(undefined) : errAsync({ kind: 'notCurrent', message: 'no contact with a quorum' }),
+    confirmCurrent: confirm,
+    confirmLeased: confirm,
     status: () => ({ ...status, commitIndex: log.applied.length, lastIndex: log.applied.length }),
     onApplied: (listener) => {
       listeners.add(listener)
--- a/packages/core/src/interfaces/replication.ts
+++ b/packages/core/src/interfaces/replication.ts
@@ -35,8 +35,10 @@
 /** A replicated log with its state machine. */
 export type ReplicatedLog<Command, Reply> = {
   propose: (cmd: Command) => ResultAsync<Reply, ProposeError>
-  /** Ok when this replica has applied every command accepted so far, confirmed by a valid leader lease or a read index from the leader. */
+  /** Ok when this replica has applied every command accepted before the call, confirmed by a quorum and independent of clocks. */
   confirmCurrent: () => ResultAsync<void, NotCurrent>
+  /** As `confirmCurrent`, but relies on the lease of the leader, for reads that are too frequent for a round of messages. */
+  confirmLeased: () => ResultAsync<void, NotCurrent>
   status: () => ReplicaStatus
   /** Calls back after each applied command. */
   onApplied: (listener: (index: number) => void) => () => void
--- a/packages/lab/src/fuzz/failures.test.ts
+++ b/packages/lab/src/fuzz/failures.test.ts
@@ -18,6 +18,7 @@
   const log: ReplicatedLog<KeyCommand, KeyReply> = {
     propose: (cmd) => okAsync(machine.apply(0, cmd)),
     confirmCurrent: () => okAsync(undefined),
+    confirmLeased: () => okAsync(undefined),
     status: () => { throw new Error('not simulated') },
     onApplied: () => () => {},
     close: async () => {}
--- a/packages/lab/src/fuzz/sim-register.ts
+++ b/packages/lab/src/fuzz/sim-register.ts
@@ -46,6 +46,7 @@
       return okAsync(reply)
     },
     confirmCurrent: () => okAsync(undefined),
+    confirmLeased: () => okAsync(undefined),
     status: () => { throw new Error('not simulated') },
     onApplied: () => () => {},
     close: async () => {}
