Count the wall clock in the lease of a leader

What callers would see: a control VM that resumes from a suspension confirms polls with routes that have been replaced, for up to 500 ms; a node that starts at that moment takes them as confirmed. Cause: the lease is measured on the monotonic clock only, which does not count a suspension. Evidence: the new test 'a leader that resumes from a suspension holds no lease' failed before. Change: the age of a contact is the longer of those on the two clocks. A leader steps down by the monotonic clock alone, so that a step of the wall clock costs the lease until the next reply and no election; the second new test covers this.

--- a/packages/control/src/replication/cluster.test.ts
+++ b/packages/control/src/replication/cluster.test.ts
@@ -114,6 +114,35 @@
   t.deepEqual(cluster.violations, [])
 })
 
+// Guards against polls of nodes that are confirmed by the lease of a leader whose VM was suspended: its monotonic clock did not count
+// that time.
+test('a leader that resumes from a suspension holds no lease', async (t) => {
+  const cluster = createCluster(3, 6)
+  const oldLeader = await cluster.boot()
+  cluster.suspend(oldLeader.vmId)
+  await cluster.waitUntil(() => cluster.leader() !== undefined, 'another leader')
+  await cluster.propose(cluster.leader()!.vmId, 'a')
+  cluster.resume(oldLeader.vmId)
+  t.is(oldLeader.log!.status().leaseMs, 0)
+  t.true((await cluster.waitFor(oldLeader.log!.confirmLeased())).isErr())
+  await cluster.converge()
+  t.deepEqual(cluster.violations, [])
+})
+
+// Guards against a leader that steps down, or loses its lease for good, when its wall clock is set.
+test('a wall clock that is set forward or back leaves the leader in office', async (t) => {
+  const cluster = createCluster(3, 6)
+  const leader = await cluster.boot()
+  const { term } = leader.log!.status()
+  for (const stepMs of [60_000, -120_000]) {
+    leader.process.clock.stepWall(stepMs)
+    await cluster.advance(2000)
+    t.is(cluster.leader(), leader)
+    t.is(leader.log!.status().term, term)
+    t.true((await cluster.waitFor(leader.log!.confirmLeased())).isOk())
+  }
+})
+
 // Guards against stale reads from a leader whose VM was suspended: its monotonic clock did not count that time, so that its lease seems
 // valid, while another leader has accepted entries. Wall clocks are no protection, as they may have been set back meanwhile.
 for (const wallStepMs of [0, -10_000]) {
--- a/packages/control/src/replication/leader.ts
+++ b/packages/control/src/replication/leader.ts
@@ -7,7 +7,7 @@
 import { proposeEntry } from './proposals.js'
 import { runHeartbeat, runReplicator } from './replicator.js'
 import { handleStorageError, refreshConfiguration, termAt, type Leadership, type Replica } from './replica.js'
-import { quorumContactMs, stepDown } from './roles.js'
+import { quorumSilenceMs, stepDown } from './roles.js'
 import { startTask } from './tasks.js'
 
 /** Starts the leadership of this replica in the current term. */
@@ -46,7 +46,7 @@
   for (const { vmId, storageId } of replica.config?.members ?? []) {
     if (storageId === replica.self.storageId || leadership.progress.has(storageId)) continue
     const nextIndex = replica.store.log.lastIndex() + 1
-    const progress = { vmId, storageId, nextIndex, matchIndex: 0, contactMs: -Infinity, confirmedRound: 0 }
+    const progress = { vmId, storageId, nextIndex, matchIndex: 0, contactMs: -Infinity, contactWallMs: -Infinity, confirmedRound: 0 }
     leadership.progress.set(storageId, progress)
     startTask(replica, runHeartbeat(replica, leadership, progress))
     startTask(replica, runReplicator(replica, leadership, progress, () => advanceCommit(replica, leadership)))
@@ -113,9 +113,9 @@
     await clock.sleep(settings.heartbeatMs)
     if (leadership.ended) return
     const nowMs = clock.nowMs()
-    const sinceMs = Math.max(quorumContactMs(replica, nowMs), leadership.startedMs)
+    const silenceMs = Math.min(quorumSilenceMs(replica), nowMs - leadership.startedMs)
     if (replica.closed) stepDown(replica, 'the process is stopping')
-    else if (nowMs - sinceMs > settings.electionMinMs) stepDown(replica, 'no contact with a quorum')
+    else if (silenceMs > settings.electionMinMs) stepDown(replica, 'no contact with a quorum')
     else if (nowMs - leadership.writingSinceMs > settings.proposeTimeoutMs) stepDown(replica, 'the disk of this VM does not complete a write; check it')
   }
 }
--- a/packages/control/src/replication/replica.ts
+++ b/packages/control/src/replication/replica.ts
@@ -37,6 +37,8 @@
   matchIndex: number
   /** When the latest message with a reply was sent; the lease is measured from the sending, not from the reply. */
   contactMs: number
+  /** The same on the wall clock, which also counts the time for which this VM was suspended. */
+  contactWallMs: number
   /** The latest round of reads before which that message was sent. */
   confirmedRound: number
 }
--- a/packages/control/src/replication/replicator.ts
+++ b/packages/control/src/replication/replicator.ts
@@ -60,9 +60,10 @@
 }
 
 /** When a message was sent, and which reads had asked for a round by then. */
-type Sending = { sentMs: number, round: number }
+type Sending = { sentMs: number, sentWallMs: number, round: number }
 
-const startSending = ({ clock }: Replica, { readRound }: Leadership): Sending => ({ sentMs: clock.nowMs(), round: readRound })
+const startSending = ({ clock }: Replica, { readRound }: Leadership): Sending =>
+  ({ sentMs: clock.nowMs(), sentWallMs: clock.wallMs(), round: readRound })
 
 /** Records the time of contact; false when the peer is in another term, which ends the leadership if it is higher. */
 function recordContact (replica: Replica, leadership: Leadership, progress: Progress, term: number, sent: Sending): boolean {
@@ -71,7 +72,10 @@
     return false
   }
   if (term !== leadership.term) return false
-  progress.contactMs = Math.max(progress.contactMs, sent.sentMs)
+  if (sent.sentMs >= progress.contactMs) {
+    progress.contactMs = sent.sentMs
+    progress.contactWallMs = sent.sentWallMs
+  }
   progress.confirmedRound = Math.max(progress.confirmedRound, sent.round)
   leadership.memberReplied.notify()
   return true
--- a/packages/control/src/replication/roles.ts
+++ b/packages/control/src/replication/roles.ts
@@ -1,21 +1,32 @@
 import { err } from 'neverthrow'
 import { reachedByQuorum } from './configuration.js'
-import type { Replica } from './replica.js'
+import type { Progress, Replica } from './replica.js'
 
 /** Remaining time of the leader lease in ms; 0 without one. */
 export function leaseMs (replica: Replica): number {
   const { leadership, config, clock, settings } = replica
   if (leadership === undefined || config === undefined) return 0
   const nowMs = clock.nowMs()
-  return Math.max(0, quorumContactMs(replica, nowMs) + settings.leaseMs - nowMs)
+  const wallMs = clock.wallMs()
+  // The monotonic clock stops while this VM is suspended, the wall clock may be set back; the longer of the two times counts.
+  const ageMs = quorumAgeMs(replica, ({ contactMs, contactWallMs }) => Math.max(nowMs - contactMs, wallMs - contactWallMs))
+  return Math.max(0, settings.leaseMs - ageMs)
 }
 
-/** Time up to which a quorum is known to have followed this leader. */
-export function quorumContactMs (replica: Replica, nowMs: number): number {
-  const { leadership, config, self } = replica
-  if (leadership === undefined || config === undefined) return -Infinity
-  return reachedByQuorum(config, ({ storageId }) =>
-    storageId === self.storageId ? nowMs : leadership.progress.get(storageId)?.contactMs ?? -Infinity)
+/** Time on the monotonic clock since a quorum is known to have followed this leader. */
+export function quorumSilenceMs (replica: Replica): number {
+  const nowMs = replica.clock.nowMs()
+  return quorumAgeMs(replica, ({ contactMs }) => nowMs - contactMs)
+}
+
+/** The age of the latest contact with a quorum, including this replica. */
+function quorumAgeMs ({ leadership, config, self }: Replica, ageMs: (progress: Progress) => number): number {
+  if (leadership === undefined || config === undefined) return Infinity
+  return -reachedByQuorum(config, ({ storageId }) => {
+    const progress = leadership.progress.get(storageId)
+    if (storageId === self.storageId) return 0
+    return progress === undefined ? -Infinity : -ageMs(progress)
+  })
 }
 
 /** Adopts a higher term; the caller must save it before it acknowledges anything in that term. */
--- a/packages/control/src/replication/testing/model.ts
+++ b/packages/control/src/replication/testing/model.ts
@@ -38,13 +38,13 @@
   }, () => {})
 })
 
-const read = (vmId: string) => command(`read ${vmId}`, (real) => {
+const read = (vmId: string, confirm: 'confirmCurrent' | 'confirmLeased') => command(`${confirm} ${vmId}`, (real) => {
   const { cluster, calls } = real
   const log = runningLog(real, vmId)
   if (log === undefined) return
   const accepted = calls.filter(({ result }) => result === 'ok').map(({ cmd }) => cmd)
   const { machine, process } = cluster.vm(vmId)
-  log.confirmCurrent().match(() => {
+  log[confirm]().match(() => {
     const missing = accepted.find((cmd) => !machine.applied.includes(cmd))
     if (missing !== undefined && !process.isDead) cluster.violations.push(`${vmId} confirmed a current read without ${missing}`)
   }, () => {}).catch(() => {})
@@ -76,7 +76,7 @@
   cluster.network.heal()
   cluster.network.loss = 0
   for (const vm of cluster.vms) {
-    vm.process.isFrozen = false
+    cluster.resume(vm.vmId)
     vm.onDiskOperation = undefined
   }
   // A damaged replica starts only once the others have a leader, so its start may have to be repeated.
@@ -100,7 +100,7 @@
 async function restartStopped ({ cluster }: Real) {
   cluster.network.heal()
   for (const vm of cluster.vms) {
-    vm.process.isFrozen = false
+    cluster.resume(vm.vmId)
     vm.onDiskOperation = undefined
   }
   for (const { vmId, log } of cluster.vms) if (log === undefined) await cluster.start(vmId)
@@ -114,7 +114,8 @@
   const onVm = (name: string, run: (cluster: Cluster, id: string) => void) => vmId.map((id) => command(`${name} ${id}`, ({ cluster }) => run(cluster, id)))
   return [
     ...repeat(8, vmId.map(propose)),
-    ...repeat(6, vmId.map(read)),
+    ...repeat(3, vmId.map((id) => read(id, 'confirmCurrent'))),
+    ...repeat(3, vmId.map((id) => read(id, 'confirmLeased'))),
     ...repeat(2, vmId.map(restart)),
     vmId.map(loseDisk),
     vmId.map(damageDisk),
@@ -123,7 +124,8 @@
     ...repeat(3, fc.tuple(vmId, vmId).map(([a, b]) => command(`cut ${a} to ${b}`, ({ cluster }) => cluster.network.cut(a, b)))),
     onVm('slow down the disk of', (cluster, id) => { cluster.vm(id).onDiskOperation = () => cluster.clock.sleep(400) }),
     onVm('freeze', (cluster, id) => { cluster.vm(id).process.isFrozen = true }),
-    onVm('resume', (cluster, id) => { cluster.vm(id).process.isFrozen = false }),
+    onVm('suspend', (cluster, id) => cluster.suspend(id)),
+    onVm('resume', (cluster, id) => cluster.resume(id)),
     fc.constantFrom(0, 0, 0.1, 0.3).map((loss) => command(`lose ${loss} of the messages`, ({ cluster }) => { cluster.network.loss = loss })),
     ...repeat(3, fc.constant(command('heal the network', ({ cluster }) => cluster.network.heal()))),
     ...repeat(3, fc.constant(command('restart stopped VMs', restartStopped))),
--- a/packages/control/src/replication/testing/process-clock.ts
+++ b/packages/control/src/replication/testing/process-clock.ts
@@ -13,19 +13,30 @@
   let stoppedSinceMs: number | undefined
   let stoppedMs = 0
   let wallOffsetMs = 0
+  let resumed: Promise<void> | undefined
+  let wake = () => {}
   const nowMs = () => (stoppedSinceMs ?? clock.nowMs()) - stoppedMs
   return {
     nowMs,
     wallMs: () => clock.wallMs() + wallOffsetMs,
     sleep: async (ms, signal) => {
       const dueMs = nowMs() + ms
-      do await clock.sleep(stoppedSinceMs === undefined ? dueMs - nowMs() : 1, signal)
-      while (nowMs() < dueMs && signal?.aborted !== true)
+      do {
+        await resumed
+        await clock.sleep(dueMs - nowMs(), signal)
+      } while (nowMs() < dueMs && signal?.aborted !== true)
+    },
+    stop: () => {
+      if (stoppedSinceMs !== undefined) return
+      stoppedSinceMs = clock.nowMs()
+      resumed = new Promise((resolve) => { wake = resolve })
     },
-    stop: () => { stoppedSinceMs ??= clock.nowMs() },
     resume: () => {
-      if (stoppedSinceMs !== undefined) stoppedMs += clock.nowMs() - stoppedSinceMs
+      if (stoppedSinceMs === undefined) return
+      stoppedMs += clock.nowMs() - stoppedSinceMs
       stoppedSinceMs = undefined
+      resumed = undefined
+      wake()
     },
     stepWall: (ms) => { wallOffsetMs += ms }
   }
