Stop requests that end the targets that run them, at the nodes beside these targets

Cause: nothing took the end of a target process as a statement about the calls that it was running. The retry of the node carried the request to a second target within 100 ms, that of the client to further ones, through whichever node. Targets that had ended stayed in service until they had been silent for 3 s; 5,095 calls of the first 3.4 s after the first crash went to refused connections. Class: an outcome that is read as a fault of the target alone, while its cause may be the request. The node beside the target recognises the end of the process, takes it out of service, reports the calls that were running to the nodes of the service before it refuses them, and lets suspect calls run one at a time. The only call common to two crashes is blocked. Not counted as crashes: targets that hang, lost machines, planned stops.

--- a/packages/core/src/errors/refusal.ts
+++ b/packages/core/src/errors/refusal.ts
@@ -25,6 +25,7 @@
   'rate-exceeded': { status: 429, title: 'The customer is over the rate of its plan', remedy: 'Wait for Retry-After seconds.' },
   'bad-answer': { status: 502, title: 'The target sent a malformed or incomplete answer', remedy: 'See the outcome; safe calls may be sent again.' },
   'target-lost': { status: 502, title: 'The connection to the target was lost', remedy: 'See the outcome; safe calls may be sent again.' },
+  'request-blocked': { status: 503, title: 'Targets ended while they ran this request', remedy: 'Mend the service; the request is let through again after Retry-After seconds.' },
   overloaded: { status: 503, title: 'The system is overloaded', remedy: 'Wait for Retry-After seconds and send the request again.' },
   'no-target': { status: 503, title: 'No target of the service is ready', remedy: 'Wait for Retry-After seconds and send the request again.' },
   'lists-unconfirmed': { status: 503, title: 'The node is waiting for the current lists', remedy: 'Use another node, or wait for Retry-After seconds.' },
--- a/packages/node/src/calls/call-handler.ts
+++ b/packages/node/src/calls/call-handler.ts
@@ -144,6 +144,7 @@
       path: parsed.path,
       headers: parsed.headers,
       opKey: admitted.opKey,
+      caller: root.customer,
       op: admitted.op,
       body,
       deadline,
--- a/packages/node/src/calls/executor.ts
+++ b/packages/node/src/calls/executor.ts
@@ -2,6 +2,8 @@
   formatTraceParent, HEADERS, notRun, unknownOutcome,
   type CallEnd, type Clock, type Permit, type Refusal, type StoredResponse, type TargetGate
 } from '@orioleslip/core'
+import type { RunningCall } from '../crashes/crash-detector.js'
+import type { CrashGuard } from '../crashes/crash-guard.js'
 import { readAll } from '../links/byte-queue.js'
 import type { IncomingCall } from '../links/incoming-call.js'
 import type { CallHead, CallReport } from '../links/messages.js'
@@ -20,6 +22,8 @@
   gate: TargetGate
   inbound: InboundCalls
   guard: Pick<IdempotencyGuard, 'begin'>
+  /** Keeps requests that end targets from ending further ones; by default nothing does. */
+  crashes?: ExecutorCrashes
   clock: Clock
   /** Refusal for a new call that this node must not accept; undefined otherwise. */
   callRefusal: (head: CallHead) => Refusal | undefined
@@ -46,6 +50,9 @@
   /** Another process than the announced one has responded, and did not run the call. */
   | { kind: 'misdirected', refusal: Refusal }
 
+/** The part of the crash guard that the executor uses. */
+export type ExecutorCrashes = Pick<CrashGuard, 'admit' | 'refusalBeforeSend' | 'started' | 'completed'>
+
 type TargetHead = Extract<TargetReply, { kind: 'head' }>
 
 /** Builds the headers of a call to the local target. */
@@ -56,6 +63,7 @@
   const { target, gate, inbound, guard, clock } = options
   const { targetHeaders = defaultTargetHeaders, isForeignResponse = () => false } = options
   const { checkResponse = () => ({ kind: 'ran' }), readNotices = createNoticeReader(HEADERS) } = options
+  const { crashes = noCrashGuard } = options
   const { onRefused = () => {}, onSent = () => {}, onNotices = () => {} } = options
 
   const reportOf = (call: InboundCall): CallReport => {
@@ -120,8 +128,25 @@
     onNotices(sender, notices)
   }
 
-  const execute = async ({ call, deadline, self, bytes, guardedRun }: ReadyCall): Promise<void> => {
+  const execute = async (ready: ReadyCall): Promise<void> => {
+    const { call, deadline, self, guardedRun } = ready
+    const { fingerprint = NO_FINGERPRINT, service } = call.head
+    const pending = crashes.admit(fingerprint, service, deadline.signal)
+    const admission = pending instanceof Promise ? await pending : pending
+    if (admission.kind === 'refused') {
+      releaseClaim(guardedRun)
+      return refuseCall(call, admission.refusal, reportOf(self))
+    }
+    try {
+      await runAtTarget(ready, admission.asSuspect)
+    } finally {
+      admission.release()
+    }
+  }
+
+  const runAtTarget = async ({ call, deadline, self, bytes, guardedRun }: ReadyCall, asSuspect: boolean): Promise<void> => {
     const { head } = call
+    const { fingerprint = NO_FINGERPRINT } = head
     const entered = await gate.enter({
       priority: head.root.priority,
       opKey: head.opKey,
@@ -141,9 +166,13 @@
     const body = await receiveTargetBody(call, bytes)
     if (body.isErr()) return refuseUnsent(body.error)
     const current = target.current()
-    if (current === undefined || deadline.signal.aborted) {
+    if (deadline.signal.aborted) {
       return refuseUnsent(notRun('deadline-exceeded', 'the call was cancelled or its deadline passed before it was sent to the target'))
     }
+    if (current === undefined) return refuseUnsent(notRun('no-target', 'the target process has ended', 1))
+    const crashRefusal = crashes.refusalBeforeSend(fingerprint, asSuspect)
+    if (crashRefusal !== undefined) return refuseUnsent(crashRefusal)
+    const running = crashes.started(fingerprint, current.announcement)
     const startedMs = clock.nowMs()
     const latencyMs = () => clock.nowMs() - startedMs
     onSent()
@@ -156,29 +185,45 @@
       isForeign: (headers) => isForeignResponse(call, headers)
     })
     if (reply.kind === 'foreign') {
+      running.ended()
       permit.release({ kind: 'failed', latencyMs: latencyMs() })
       const refusal = unknownOutcome('bad-answer', 'the target sent the response to another request')
       return refuseCall(call, refusal, { ...reportOf(self), reachedTarget: true })
     }
-    if (reply.kind === 'failed') return finishFailed({ call, deadline, self, permit, guardedRun, latencyMs, reply })
+    if (reply.kind === 'failed') return await finishFailed({ call, deadline, self, permit, guardedRun, latencyMs, reply, running })
     const check = checkResponse(reply)
     if (check.kind !== 'misdirected') applyNotices(current.announcement, readNotices(reply.headers))
     if (check.kind !== 'ran') {
+      running.ended()
       reply.abort()
       permit.release({ kind: check.kind === 'not-run' ? 'targetShed' : 'failed', latencyMs: latencyMs() })
       releaseClaim(guardedRun)
       return refuseCall(call, check.refusal, { ...reportOf(self), reachedTarget: true })
     }
     const end = await forwardResponse({ call, guardedRun, reply, report: () => reportOf(self), refuse: refuseCall })
+    if (end === 'complete') crashes.completed(running, head.service)
+    else lost(running, deadline)
     permit.release(callEndOf({ end, status: reply.status, latencyMs: latencyMs(), self }, deadline))
   }
 
-  const finishFailed = ({ call, deadline, self, permit, guardedRun, latencyMs, reply }: FailedCall) => {
+  /** Resolves with true if the connection was lost because the target process has ended by itself. */
+  const lost = async (running: RunningCall, deadline: CallDeadline): Promise<boolean> => {
+    const isLeaving = target.leavingProcess() !== undefined || target.current()?.announcement.state === 'leaving'
+    if (!deadline.signal.aborted && !isLeaving) return await running.lost()
+    running.ended()
+    return false
+  }
+
+  const finishFailed = async ({ call, deadline, self, permit, guardedRun, latencyMs, reply, running }: FailedCall): Promise<void> => {
     permit.release({ kind: deadline.signal.aborted ? 'cancelled' : 'failed', latencyMs: latencyMs() })
     if (!reply.sent) releaseClaim(guardedRun)
     const isCancelled = deadline.signal.aborted
+    const hasCrashed = reply.sent && !isCancelled ? await lost(running, deadline) : false
+    // Whoever sends the call again is told of the crash first, see `onCrash` of the guard.
+    running.ended()
     const code = isCancelled ? 'deadline-exceeded' : 'target-lost'
-    const detail = isCancelled ? `the target had sent no response after ${Math.round(latencyMs())} ms, when the call was cancelled` : reply.message
+    const cause = hasCrashed ? 'the target process ended while it ran the call' : reply.message
+    const detail = isCancelled ? `the target had sent no response after ${Math.round(latencyMs())} ms, when the call was cancelled` : cause
     const refusal = reply.sent ? unknownOutcome(code, detail) : notRun(code, detail, 1)
     refuseCall(call, refusal, { ...reportOf(self), reachedTarget: reply.sent })
   }
@@ -224,6 +269,17 @@
   permit: Permit
   latencyMs: () => number
   reply: Extract<TargetReply, { kind: 'failed' }>
+  running: RunningCall
+}
+
+/** Fingerprint of calls from nodes of earlier versions, which name none. */
+const NO_FINGERPRINT = 0
+
+const noCrashGuard: ExecutorCrashes = {
+  admit: () => ({ kind: 'run', asSuspect: false, release: () => {} }),
+  refusalBeforeSend: () => undefined,
+  started: (fingerprint) => ({ fingerprint, ended: () => {}, lost: () => Promise.resolve(false) }),
+  completed: () => {}
 }
 
 /** Releases a claim in the background. The refusal need not wait for it, since this executor does not dispatch the call any more. */
--- a/packages/node/src/calls/forwarder.test.ts
+++ b/packages/node/src/calls/forwarder.test.ts
@@ -59,6 +59,7 @@
   path: '/',
   headers: [],
   opKey: 'o',
+  caller: 'c',
   op: { repeatable } as Operation,
   body: { kind: 'none' },
   deadline: startDeadline(ms, systemClock.nowMs),
--- a/packages/node/src/calls/forwarder.ts
+++ b/packages/node/src/calls/forwarder.ts
@@ -2,6 +2,7 @@
   unknownOutcome,
   type Clock, type MemberRecord, type Operation, type Refusal, type RequestContext, type Router, type TargetVerdict
 } from '@orioleslip/core'
+import { fingerprintOf } from '../crashes/fingerprint.js'
 import type { ByteQueue } from '../links/byte-queue.js'
 import type { IncomingCall } from '../links/incoming-call.js'
 import { createLocalCall } from '../links/local-call.js'
@@ -25,6 +26,8 @@
   path: string
   headers: string[]
   opKey: string
+  /** Who sends the request, as far as its effect on a target may depend on it: host and calling service, or customer. */
+  caller: string
   /** Absent for unlisted operations. */
   op: Operation | undefined
   body: RequestBody
@@ -107,9 +110,9 @@
     return dialed.isOk() ? dialed.value.openCall(head(), callOptions) : dialed.error.message
   }
 
-  const sendAttempt = async (req: ForwardRequest, member: MemberRecord, crossesRegion: boolean, claim: CallHead['claim']): Promise<AttemptResult> => {
+  const sendAttempt = async (req: ForwardRequest, member: MemberRecord, crossesRegion: boolean, fields: Pick<AttemptFields, 'claim' | 'fingerprint'>): Promise<AttemptResult> => {
     const deferBody = crossesRegion || req.body.kind === 'stream'
-    const call = await openCall(req, member, () => headOf(req, { deferBody, claim, leavingProcess: leaving.of(member.vmId) }))
+    const call = await openCall(req, member, () => headOf(req, { ...fields, deferBody, leavingProcess: leaving.of(member.vmId) }))
     if (typeof call === 'string') return { kind: 'ended', call: undefined, reply: { kind: 'notSent', message: call } }
     const cancel = () => call.cancel()
     if (req.deadline.signal.aborted) cancel()
@@ -134,6 +137,7 @@
   }
 
   const forward = async (req: ForwardRequest): Promise<ForwardResult> => {
+    const fingerprint = fingerprintOf(req)
     const attempts: AttemptRecord[] = []
     const tried = new Set<string>()
     let report: CallReport = { pathLevel: 0, regionBytes: 0 }
@@ -166,7 +170,7 @@
       router.callSent(member.vmId)
       const startedMs = clock.nowMs()
       const claim = req.claimKey === undefined ? undefined : { key: req.claimKey, token: newAttemptToken(clock) }
-      const attempted = await sendAttempt(req, member, crossesRegion, claim)
+      const attempted = await sendAttempt(req, member, crossesRegion, { claim, fingerprint })
       const settle = (added: CallReport, verdict: TargetVerdict): CallReport => {
         const bytes = crossesRegion ? wireBytes(req, attempted.call) : 0
         volume?.settle(bytes)
@@ -227,9 +231,9 @@
 export const NO_REPORT: CallReport = { pathLevel: 0, regionBytes: 0 }
 
 /** Fields of a call head that differ between the attempts of a call. */
-type AttemptFields = { deferBody: boolean, claim: CallHead['claim'], leavingProcess: number | undefined }
+type AttemptFields = { deferBody: boolean, claim: CallHead['claim'], fingerprint: number, leavingProcess: number | undefined }
 
-function headOf (req: ForwardRequest, { deferBody, claim, leavingProcess }: AttemptFields): CallHead {
+function headOf (req: ForwardRequest, { deferBody, claim, fingerprint, leavingProcess }: AttemptFields): CallHead {
   const length = bodyBytes(req.body)
   return {
     root: req.root,
@@ -241,6 +245,7 @@
     remainingMs: req.deadline.remainingMs(),
     traceFlags: req.traceFlags,
     deferBody,
+    fingerprint,
     ...(length === undefined ? {} : { bodyBytes: length }),
     ...(leavingProcess === undefined ? {} : { leavingProcess }),
     ...(claim === undefined ? {} : { claim })
--- a/packages/node/src/links/compact.ts
+++ b/packages/node/src/links/compact.ts
@@ -8,7 +8,8 @@
   ...call: [service: string, method: string, path: string, headers: string[], opKey: string],
   ...terms: [remainingMs: number, traceFlags: string, deferBody: boolean],
   ...optional: [bodyBytes: number | null, claimKey: string | null, claimToken: string | null],
-  ...leaving: [] | [leavingProcess: number]
+  /** Absent from nodes of earlier versions, which know no fingerprint. */
+  ...recent: [] | [leavingProcess: number | null] | [leavingProcess: number | null, fingerprint: number]
 ]
 
 /** A report as a list of values. */
@@ -29,18 +30,21 @@
 /** Converts a call head to a list of values. */
 export function packHead (head: CallHead): CompactHead {
   const { root: { requestId, traceId, customer, entryOpKey, priority, ledger, region }, claim } = head
-  const { service, method, path, headers, opKey, remainingMs, traceFlags, deferBody, bodyBytes, leavingProcess } = head
+  const { service, method, path, headers, opKey, remainingMs, traceFlags, deferBody, bodyBytes } = head
+  const { leavingProcess = null, fingerprint } = head
   return [
     requestId, traceId, customer, entryOpKey, priority, ledger.host, ledger.port, region,
     service, method, path, headers, opKey, remainingMs, traceFlags, deferBody,
-    bodyBytes ?? null, claim?.key ?? null, claim?.token ?? null, ...(leavingProcess === undefined ? [] as const : [leavingProcess] as const)
+    bodyBytes ?? null, claim?.key ?? null, claim?.token ?? null,
+    ...(fingerprint === undefined ? [leavingProcess] as const : [leavingProcess, fingerprint] as const)
   ]
 }
 
 /** Converts a list of values back to a call head. */
 export function unpackHead (values: CompactHead): CallHead {
   const [requestId, traceId, customer, entryOpKey, priority, host, port, region, ...call] = values
-  const [service, method, path, headers, opKey, remainingMs, traceFlags, deferBody, bodyBytes, key, token, leavingProcess] = call
+  const [service, method, path, headers, opKey, remainingMs, traceFlags, deferBody, bodyBytes, key, token, ...recent] = call
+  const [leavingProcess = null, fingerprint] = recent
   return {
     root: { requestId, traceId, customer, entryOpKey, priority, ledger: { host, port }, region },
     service,
@@ -52,7 +56,8 @@
     traceFlags,
     deferBody,
     ...(bodyBytes === null ? {} : { bodyBytes }),
-    ...(leavingProcess === undefined ? {} : { leavingProcess }),
+    ...(leavingProcess === null ? {} : { leavingProcess }),
+    ...(fingerprint === undefined ? {} : { fingerprint }),
     ...(key === null || token === null ? {} : { claim: { key, token } })
   }
 }
--- a/packages/node/src/links/messages.ts
+++ b/packages/node/src/links/messages.ts
@@ -21,6 +21,8 @@
   bodyBytes?: number
   /** Target process at the receiving VM that has said that it leaves, if the sender knows of one. */
   leavingProcess?: number
+  /** Identifies the request when it comes again, see `crashes/fingerprint.ts`; absent from nodes of earlier versions. */
+  fingerprint?: number
   /** Idempotency key and attempt token that the executor claims in the key register; set on non-repeatable calls. */
   claim?: { key: string, token: string }
 }
--- a/packages/node/src/members/target-watch.ts
+++ b/packages/node/src/members/target-watch.ts
@@ -14,6 +14,8 @@
   announce: (target: TargetRecord) => void
   /** Publishes the target as leaving, unless none was announced or it is gone. */
   leave: () => void
+  /** Publishes the target as gone, because its process has ended by itself. */
+  ended: () => void
   /** Last announcement, with state `gone` once it has expired. */
   current: () => TargetRecord | undefined
   start: () => void
@@ -62,6 +64,7 @@
       change(target)
     },
     leave: () => { if (current !== undefined && current.state !== 'gone') change({ ...current, state: 'leaving' }) },
+    ended: () => { if (current !== undefined) change({ ...current, state: 'gone' }) },
     current: () => current,
     start: () => { run() },
     stop: () => stopping.abort()
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -14,6 +14,7 @@
 import { createForwarder } from './calls/forwarder.js'
 import { createInboundCalls } from './calls/inbound-calls.js'
 import { createNodeStats, GAUGE_INTERVAL_MS, reportGauges, type MetricsSink } from './calls/node-stats.js'
+import { createGuardedTarget } from './crashes/guarded-target.js'
 import { createControlCall } from './idempotency/control-call.js'
 import { createIdempotencyGuard } from './idempotency/idempotency-guard.js'
 import { resolveLostCall } from './idempotency/lost-call.js'
@@ -36,7 +37,6 @@
 import { createPlannedStop } from './server/planned-stop.js'
 import { createWellKnown } from './server/well-known.js'
 import { createLocalTarget } from './target/local-target.js'
-import { createTargetLifecycle } from './target/target-lifecycle.js'
 
 /** Dependencies of `startNode`. */
 export type NodeDeps = {
@@ -83,15 +83,18 @@
   const quotas = cfg.overloadControl
     ? createQuotas({ members, requestQuota: createQuotaRequestSender(() => pool, members), clock, vmId: vm.id })
     : unlimitedQuotas
-  const handlePeerRequest = createPeerRequestHandler(ledger, quotas)
+  const handleEntryRequest = createPeerRequestHandler(ledger, quotas)
+  const handlePeerRequest = (kind: string, body: unknown) => handleEntryRequest(kind, body) ?? crashes.handleRequest(kind, body)
   const pool = createPeerPool({ fleetKey, vmId: vm.id }, handlePeerRequest)
 
   const control = createControlCall({ controls: settings.controls, fleetKey, clock, random })
   const register = createRegisterClient(control.call)
   const guard = createIdempotencyGuard({ register, clock, log, vmId: vm.id })
-  const lifecycle = createTargetLifecycle({ target, availability, watch, isConfirmed: members.isConfirmed, clock, log })
+  const { crashes, lifecycle, announce } = createGuardedTarget({
+    target, availability, watch, clock, log, host: vm.address, members, pool: () => pool
+  })
   const { callRefusal, onSent, onNotices } = lifecycle
-  const executor = createExecutor({ target, gate, inbound, guard, clock, callRefusal, onSent, onNotices })
+  const executor = createExecutor({ target, gate, inbound, guard, crashes, clock, callRefusal, onSent, onNotices })
   const listener = await listenForPeers({
     address: peerAddress,
     identity: { fleetKey, vmId: vm.id },
@@ -131,7 +134,7 @@
   const wellKnown = createWellKnown({
     authority: callerAuthority,
     verify: createRequestVerifier({ fleetKey, operators: settings.auth.operators, clock }),
-    announce: lifecycle.announce,
+    announce,
     records,
     members: members.all,
     stats: stats.snapshot,
--- a/packages/node/src/routes/route-handler.ts
+++ b/packages/node/src/routes/route-handler.ts
@@ -106,6 +106,7 @@
         names.callerService, options.callerService
       ],
       opKey: route.name,
+      caller: `${req.headers.host ?? ''} ${options.callerService}`,
       op: operationOf(route, service),
       body,
       deadline,
--- a/packages/node/src/routes/routed-node.ts
+++ b/packages/node/src/routes/routed-node.ts
@@ -9,6 +9,7 @@
 import { createForwarder } from '../calls/forwarder.js'
 import { createInboundCalls } from '../calls/inbound-calls.js'
 import { createNodeStats, GAUGE_INTERVAL_MS, reportGauges, type MetricsSink } from '../calls/node-stats.js'
+import { createGuardedTarget } from '../crashes/guarded-target.js'
 import type { IdempotencyGuard } from '../idempotency/idempotency-guard.js'
 import { createAnnouncedLimit } from '../limits/announced-limit.js'
 import { createLatencies } from '../limits/latencies.js'
@@ -24,7 +25,6 @@
 import { createAvailability } from '../server/drain.js'
 import { createPlannedStop } from '../server/planned-stop.js'
 import { createLocalTarget, type Announcement } from '../target/local-target.js'
-import { createTargetLifecycle } from '../target/target-lifecycle.js'
 import { createForeignResponseTest, createResponseCheck, createRoutedTargetHeaders, type CallHeaderNames } from './call-headers.js'
 import { createDestinationChooser } from './destinations.js'
 import { createRepeatBudget } from './repeat-budget.js'
@@ -82,13 +82,16 @@
   const target = createLocalTarget(vm.address, { acceptUnframed: true })
   target.onStarted(gate.targetStarted)
   const watch = createTargetWatch({ clock, log, publish: (record) => members.announceTarget(record), silenceMs: cfg.targetSilenceMs })
-  const pool = createPeerPool({ fleetKey, vmId: vm.id }, () => undefined)
-  const lifecycle = createTargetLifecycle({ target, availability, watch, isConfirmed: members.isConfirmed, clock, log })
+  const pool = createPeerPool({ fleetKey, vmId: vm.id }, (kind, body) => crashes.handleRequest(kind, body))
+  const { crashes, lifecycle, announce } = createGuardedTarget({
+    target, availability, watch, clock, log, host: vm.address, members, pool: () => pool
+  })
   const executor = createExecutor({
     target,
     gate,
     inbound,
     guard: rejectingGuard,
+    crashes,
     clock,
     callRefusal: lifecycle.callRefusal,
     onSent: lifecycle.onSent,
@@ -102,7 +105,7 @@
   const listener = await listenForPeers({
     address: peerAddress,
     identity: { fleetKey, vmId: vm.id },
-    handlers: { onCall: executor.execute, onRequest: () => undefined },
+    handlers: { onCall: executor.execute, onRequest: crashes.handleRequest },
     onRejected: (remote, message) => log.warn({ event: 'peer-rejected', remote }, `peer connection rejected: ${message}`)
   })
   const budget = createRepeatBudget({
@@ -174,7 +177,7 @@
     drain,
     stop,
     isReady: () => !availability.stopping() && routes() !== undefined && members.isConfirmed(),
-    announce: lifecycle.announce,
+    announce,
     withdraw: lifecycle.withdraw
   }
 }
--- a/packages/node/src/target/local-target.ts
+++ b/packages/node/src/target/local-target.ts
@@ -27,7 +27,13 @@
   withdraw: (instance: string) => boolean
   /** Id of the current process if it has withdrawn; undefined otherwise. */
   leavingProcess: () => number | undefined
-  /** Returns the current announcement and the client of the target; undefined before the first announcement. */
+  /** Marks the process as ended by itself; false if another one is current. */
+  markEnded: (process: Announcement) => boolean
+  /** True if the process was marked as ended. */
+  hasEnded: (process: Announcement) => boolean
+  /** Takes back the mark of the current process, which has turned out to be running. */
+  markRunning: () => void
+  /** Returns the current announcement and the client of the target; undefined without a target process. */
   current: () => { announcement: Announcement, client: TargetClient } | undefined
   /** Sets the listener that is called when the target process starts, is replaced, or announces another port or capacity. */
   onStarted: (listener: (capacity: number, sameProcess: boolean) => void) => void
@@ -42,6 +48,7 @@
 /** Creates the holder of the announced target and its connections; `host` is the address of this VM. */
 export function createLocalTarget (host: string, options: TargetClientOptions = {}): LocalTarget {
   let active: { announcement: Announcement, client: TargetClient } | undefined
+  let ended: Announcement | undefined
   let started: (capacity: number, sameProcess: boolean) => void = () => {}
   const replace = (announcement: Announcement) => {
     const address: PeerAddress = { host, port: announcement.port }
@@ -70,7 +77,14 @@
       return true
     },
     leavingProcess: () => active?.announcement.sequence === WITHDRAWN_SEQUENCE ? processIdOf(active.announcement) : undefined,
-    current: () => active,
+    markEnded: (process) => {
+      if (active === undefined || !isSameProcess(active.announcement, process)) return false
+      ended = process
+      return true
+    },
+    hasEnded: (process) => ended !== undefined && isSameProcess(ended, process),
+    markRunning: () => { ended = undefined },
+    current: () => active === undefined || (ended !== undefined && isSameProcess(ended, active.announcement)) ? undefined : active,
     onStarted: (listener) => { started = listener }
   }
 }
--- a/packages/node/src/target/target-lifecycle.test.ts
+++ b/packages/node/src/target/target-lifecycle.test.ts
@@ -12,17 +12,23 @@
   const clock = createFakeClock()
   const published: string[] = []
   const target = createLocalTarget('127.0.0.1')
+  const port = { isListening: false }
   const lifecycle = createTargetLifecycle({
     target,
     clock,
     availability: createAvailability(clock, 2000),
-    watch: { announce: ({ state }) => { published.push(state) }, leave: () => { published.push('leaving') } },
+    watch: {
+      announce: ({ state }) => { published.push(state) },
+      leave: () => { published.push('leaving') },
+      ended: () => { published.push('gone') }
+    },
+    isListening: () => Promise.resolve(port.isListening),
     isConfirmed: () => true,
     log: { debug: () => {}, info: () => {}, warn: () => {} }
   })
   lifecycle.announce(announcement())
   const respond = (leaving: boolean) => lifecycle.onNotices(target.current()!.announcement, { rateLimit: { kind: 'none' }, leaving })
-  return { clock, target, lifecycle, published, respond }
+  return { clock, target, lifecycle, published, respond, port }
 }
 
 // Guards against a target that gets calls after it has said in a response that it leaves, because its announcements still say ready.
@@ -76,3 +82,26 @@
   await clock.advance(1000)
   t.is(lifecycle.callRefusal({ leavingProcess: processIdOf(announcement()) }), undefined)
 })
+
+// Guards against calls sent for seconds to a target process that has ended, and against a late announcement of it that brings it back.
+test('a process that has ended gets no calls until another one announces itself, or its port turns out to be open', async (t) => {
+  const { clock, target, lifecycle, published, port } = createFixture()
+  lifecycle.processEnded(announcement())
+  t.is(target.current(), undefined)
+  t.false(lifecycle.announce(announcement({ sequence: 2 })))
+  await clock.advance(0)
+  t.is(target.current(), undefined)
+  t.deepEqual(published, ['ready', 'gone'])
+  lifecycle.announce(announcement({ startedMs: 6, sequence: 1 }))
+  t.is(target.current()?.announcement.startedMs, 6)
+  t.deepEqual(published, ['ready', 'gone', 'ready'])
+
+  lifecycle.processEnded(announcement())
+  t.is(target.current()?.announcement.startedMs, 6, 'a report on an earlier process is ignored')
+  lifecycle.processEnded(announcement({ startedMs: 6 }))
+  port.isListening = true
+  lifecycle.announce(announcement({ startedMs: 6, sequence: 2 }))
+  await clock.advance(0)
+  t.true(lifecycle.announce(announcement({ startedMs: 6, sequence: 3 })))
+  t.is(target.current()?.announcement.sequence, 3)
+})
--- a/packages/node/src/target/target-lifecycle.ts
+++ b/packages/node/src/target/target-lifecycle.ts
@@ -11,7 +11,9 @@
 export type TargetLifecycleOptions = {
   target: LocalTarget
   availability: Availability
-  watch: Pick<TargetWatch, 'announce' | 'leave'>
+  watch: Pick<TargetWatch, 'announce' | 'leave' | 'ended'>
+  /** True if a process listens at the port of the target. */
+  isListening: (process: Announcement) => Promise<boolean>
   /** False while the fleet may have given this node's work to others. */
   isConfirmed: () => boolean
   clock: Clock
@@ -24,6 +26,8 @@
   announce: (announcement: Announcement) => boolean
   /** Marks this instance as leaving, whatever its later announcements say; false when another instance is in effect. */
   withdraw: (instance: string) => boolean
+  /** Takes the target process out of service, because it has ended by itself. */
+  processEnded: (process: Announcement) => void
   /** Refusal for a call that this node must not accept; undefined otherwise. */
   callRefusal: (head: Pick<CallHead, 'leavingProcess'>) => Refusal | undefined
   /** Counts a call that is sent to the target. */
@@ -66,9 +70,19 @@
     // The time in which a leaving target still gets calls began before this process started.
     availability.targetLeft()
   }
+  // An announcement of a process that has ended may have been on its way for seconds.
+  const checkEnded = async (announcement: Announcement): Promise<void> => {
+    if (await options.isListening(announcement) && target.hasEnded(announcement)) target.markRunning()
+  }
+
   return {
     withdraw,
+    processEnded: (process) => { if (target.markEnded(process)) watch.ended() },
     announce: (announcement) => {
+      if (target.hasEnded(announcement)) {
+        checkEnded(announcement)
+        return false
+      }
       const before = target.current()?.announcement
       const accepted = target.announce(announcement)
       const { service, capacity, state, instance } = announcement
