Let a replica go on after its disk was full, whichever operation failed

What callers would see: all changes are refused until control processes are restarted, while all of them run. Cause: a replica whose write failed for want of space cut the file back and synced it; if the truncation or the sync failed for the same reason, or the sync of the batch itself, it counted its disk as broken and took no part until its restart. Five disks in turn take the quorum. Evidence: new test of storage-faults.test.ts, which fills each of five disks for 3 s in turn. With ENOSPC at writes only it passed before; at syncs, at writes and truncations, and at all writing operations it failed: no entry was accepted in the 4 s after the last. Class: a fault that passes is taken for one that lasts. Change: what is no longer part of the log is noted in memory (an excess at the end of the last file, obsolete files) and removed before the next write. While that fails, an entry that could not be written has an unknown outcome. Other failed syncs end the participation as before. After: the four variants pass, and the test that crashes replicas at every disk operation.

--- a/packages/control/src/replication/leader.ts
+++ b/packages/control/src/replication/leader.ts
@@ -74,8 +74,8 @@
   if (written.isErr()) {
     handleStorageError(replica, written.error)
     const { message } = written.error
-    // After a failed sync the entries may still be on the disk at the next start.
-    const kind = store.failure() === undefined ? 'refused' : 'outcomeUnknown'
+    // The entries may still be on the disk at the next start.
+    const kind = store.failure() === undefined && store.log.isSettled() ? 'refused' : 'outcomeUnknown'
     for (const { resolve } of batch) resolve(err({ kind, message }))
     const isSingleVoter = replica.config !== undefined && votersOf(replica.config).length === 1
     if (!leadership.ended && (!isSingleVoter || store.failure() !== undefined)) stepDown(replica, message)
--- a/packages/control/src/replication/storage-faults.test.ts
+++ b/packages/control/src/replication/storage-faults.test.ts
@@ -136,3 +136,35 @@
   t.true((await cluster.propose(cluster.leader()!.vmId, 'after')).isOk())
   t.deepEqual(cluster.violations, [])
 })
+
+// Guards against a group that accepts no more entries after the disks of its VMs were full for a few seconds, one after the other: a
+// replica counted a sync or a truncation that failed for want of space as a broken disk and took no part until it was restarted.
+for (const operations of [['write'], ['sync'], ['write', 'truncate'], ['open', 'write', 'truncate', 'sync', 'rename', 'remove', 'syncDir']]) {
+  test(`a group accepts entries after all disks were full in turn, for ${operations.join(', ')}`, async (t) => {
+    const cluster = createCluster(5, 27, { segmentBytes: 500, snapshotEntries: 12, trailingEntries: 3 })
+    await cluster.boot()
+    const accepted: string[] = []
+    let proposed = 0
+    const proposeFor = async (ms: number) => {
+      const endMs = cluster.clock.nowMs() + ms
+      while (cluster.clock.nowMs() < endMs) {
+        const cmd = `entry ${++proposed}`
+        const leader = cluster.leader()
+        if (leader !== undefined && (await cluster.propose(leader.vmId, cmd)).isOk()) accepted.push(cmd)
+        await cluster.advance(100)
+      }
+    }
+    for (const { disk } of cluster.vms) {
+      disk.fault = (operation) => operations.includes(operation) ? 'ENOSPC' : undefined
+      await proposeFor(3000)
+      disk.fault = undefined
+      await proposeFor(500)
+    }
+    const before = accepted.length
+    await proposeFor(4000)
+    t.true(accepted.length > before)
+    await cluster.converge()
+    for (const { machine } of cluster.vms) t.deepEqual(machine.applied.filter((cmd) => accepted.includes(cmd)), accepted)
+    t.deepEqual(cluster.violations, [])
+  })
+}
--- a/packages/control/src/storage/errors.ts
+++ b/packages/control/src/storage/errors.ts
@@ -4,7 +4,7 @@
 export type StorageError =
   /** Content that was synced is missing or has changed; it is never served. */
   | { kind: 'damaged', file: string, offset: number, message: string }
-  /** No space left; nothing of the failed write remains. */
+  /** No space left; the write or sync can be tried again. */
   | { kind: 'full', file: string, message: string }
   /** The folder can't be written. */
   | { kind: 'readOnly', file: string, message: string }
@@ -32,13 +32,14 @@
   }
 }
 
-/** Runs a sync; after a failure the content of the disk is unknown. */
+/** Runs a sync; after a failure other than for want of space the content of the disk is unknown. */
 export async function attemptSync (file: string, operation: () => Promise<void>): Promise<Result<void, StorageError>> {
   try {
     return ok(await operation())
   } catch (cause) {
-    const message = `${file}: sync failed (${codeOf(cause)}); check the disk and restart the process`
-    return err({ kind: 'syncFailed', file, message })
+    const error = toStorageError(file, cause)
+    if (error.kind === 'full') return err(error)
+    return err({ kind: 'syncFailed', file, message: `${file}: sync failed (${codeOf(cause)}); check the disk and restart the process` })
   }
 }
 
--- a/packages/control/src/storage/segment-log.ts
+++ b/packages/control/src/storage/segment-log.ts
@@ -18,8 +18,10 @@
   slice: (from: number, maxBytes: number) => LogEntry[]
   /** Encoded size of the entries from an index on. */
   bytesFrom: (index: number) => number
-  /** Writes the entries and syncs once. On an error none of them is kept. */
+  /** Writes the entries and syncs once. On an error none of them is kept, but see `isSettled`. */
   append: (entries: LogEntry[]) => AsyncStorageResult
+  /** False while the files may still hold entries that were not kept, for want of space; the next write removes them first. */
+  isSettled: () => boolean
   /** Removes the entry at `index` and all later ones. */
   truncateFrom: (index: number) => AsyncStorageResult
   /** Removes all entries; the next one has `nextIndex`. */
@@ -41,9 +43,15 @@
   let baseIndex = 1
   let file: OpenFile | undefined
   let firstFailure: StorageError | undefined
+  /** The last segment file may be longer than `size`. */
+  let hasExcess = false
+  /** Files that are no longer part of the log, the newest first. */
+  const obsolete: string[] = []
+  /** Files were removed and the folder is not synced yet. */
+  let isDirUnsynced = false
 
   const recordFailure = (error: StorageError) => {
-    firstFailure ??= error
+    if (error.kind !== 'full') firstFailure ??= error
     return err(error)
   }
   const closeFile = async () => {
@@ -73,16 +81,12 @@
       segments.push({ path, firstIndex, offsets, size: endOffset })
       entries.push(...scanned.value.entries)
       sizes.push(...offsets.map((offset, i) => (offsets[i + 1] ?? endOffset) - offset))
-      if (endOffset < data.value.length) {
-        const truncated = await truncateFile(segments.at(-1)!, endOffset)
-        if (truncated.isErr()) return truncated
-      }
-      if (endOffset === 0) {
-        const removed = await removeLastSegment()
-        if (removed.isErr()) return removed
-      }
+      if (endOffset < data.value.length) hasExcess = true
+      if (endOffset === 0) discardLastSegment()
     }
-    return ok()
+    const settled = await settle()
+    // Accepted entries can be served from a full disk.
+    return settled.isErr() && settled.error.kind !== 'full' ? settled : ok()
   }
 
   async function openLast (): Promise<Result<OpenFile, StorageError>> {
@@ -93,22 +97,38 @@
     return opened
   }
 
-  async function truncateFile (segment: Segment, size: number): AsyncStorageResult {
+  /** Takes the last segment out of the log; `settle` removes its file. */
+  function discardLastSegment () {
+    const segment = segments.pop()!
+    obsolete.push(segment.path)
+    hasExcess = false
+  }
+
+  /** Removes from the disk what is no longer part of the log. Has to succeed before the next write, so that a restart finds no gap. */
+  async function settle (): AsyncStorageResult {
+    if (obsolete.length > 0) await closeFile()
+    while (obsolete.length > 0) {
+      const path = obsolete[0]!
+      const removed = await attempt(path, () => fs.remove(path))
+      if (removed.isErr()) return recordFailure(removed.error)
+      obsolete.shift()
+      isDirUnsynced = true
+    }
+    if (isDirUnsynced) {
+      const synced = await syncDir()
+      if (synced.isErr()) return synced
+      isDirUnsynced = false
+    }
+    const segment = segments.at(-1)
+    if (!hasExcess || segment === undefined) return ok()
     const opened = await openLast()
     if (opened.isErr()) return recordFailure(opened.error)
-    const truncated = await attempt(segment.path, () => opened.value.truncate(size))
+    const truncated = await attempt(segment.path, () => opened.value.truncate(segment.size))
     if (truncated.isErr()) return recordFailure(truncated.error)
-    segment.size = size
     const synced = await attemptSync(segment.path, opened.value.sync)
-    return synced.isErr() ? recordFailure(synced.error) : ok()
-  }
-
-  async function removeLastSegment (): AsyncStorageResult {
-    await closeFile()
-    const segment = segments.pop()!
-    const removed = await attempt(segment.path, () => fs.remove(segment.path))
-    if (removed.isErr()) return recordFailure(removed.error)
-    return await syncDir()
+    if (synced.isErr()) return recordFailure(synced.error)
+    hasExcess = false
+    return ok()
   }
 
   async function addSegment (firstIndex: number): AsyncStorageResult {
@@ -117,21 +137,25 @@
     const opened = await attempt(path, () => fs.open(path, 'replace'))
     if (opened.isErr()) return err(opened.error)
     const written = await attempt(path, () => opened.value.write(SEGMENT_MAGIC, 0))
-    if (written.isErr()) {
+    const synced = written.isOk() ? await attemptSync(path, opened.value.sync) : written
+    const named = synced.isOk() ? await syncDir() : synced
+    if (named.isErr()) {
       await attempt(path, opened.value.close)
-      const removed = await attempt(path, () => fs.remove(path))
-      return removed.isErr() ? recordFailure(removed.error) : written
+      obsolete.push(path)
+      recordFailure(named.error)
+      const settled = await settle()
+      return settled.isErr() ? settled : named
     }
     file = opened.value
     segments.push({ path, firstIndex, offsets: [], size: SEGMENT_MAGIC.length })
-    const synced = await attemptSync(path, opened.value.sync)
-    if (synced.isErr()) return recordFailure(synced.error)
-    return await syncDir()
+    return ok()
   }
 
   async function append (added: LogEntry[]): AsyncStorageResult {
     if (firstFailure !== undefined) return err(firstFailure)
     if (added.length === 0) return ok()
+    const settled = await settle()
+    if (settled.isErr()) return settled
     const batchStart = added[0]!.index
     if (batchStart !== baseIndex + entries.length) throw new Error(`entry ${batchStart} appended after entry ${baseIndex + entries.length - 1}`)
     if (segments.length === 0 || segments.at(-1)!.size >= segmentBytes) {
@@ -143,12 +167,14 @@
     if (opened.isErr()) return err(opened.error)
     const records = added.map((entry) => encodeRecord(entry, batchStart))
     const written = await attempt(segment.path, () => opened.value.write(Buffer.concat(records), segment.size))
-    if (written.isErr()) {
-      const truncated = await truncateFile(segment, segment.size)
-      return truncated.isErr() ? truncated : written
+    const synced = written.isOk() ? await attemptSync(segment.path, opened.value.sync) : written
+    if (synced.isErr()) {
+      hasExcess = true
+      recordFailure(synced.error)
+      if (synced.error.kind === 'syncFailed') return synced
+      const undone = await settle()
+      return undone.isErr() ? undone : synced
     }
-    const synced = await attemptSync(segment.path, opened.value.sync)
-    if (synced.isErr()) return recordFailure(synced.error)
     for (const record of records) {
       segment.offsets.push(segment.size)
       segment.size += record.length
@@ -160,19 +186,15 @@
 
   async function truncateFrom (index: number): AsyncStorageResult {
     if (firstFailure !== undefined) return err(firstFailure)
-    while (segments.length > 0 && segments.at(-1)!.firstIndex >= index) {
-      const segment = segments.at(-1)!
-      const removed = await removeLastSegment()
-      if (removed.isErr()) return removed
-      discardInMemoryFrom(segment.firstIndex)
-    }
+    while (segments.length > 0 && segments.at(-1)!.firstIndex >= index) discardLastSegment()
     const segment = segments.at(-1)
-    if (segment === undefined || index >= segment.firstIndex + segment.offsets.length) return ok()
-    const truncated = await truncateFile(segment, segment.offsets[index - segment.firstIndex]!)
-    if (truncated.isErr()) return truncated
-    segment.offsets.length = index - segment.firstIndex
+    if (segment !== undefined && index < segment.firstIndex + segment.offsets.length) {
+      segment.size = segment.offsets[index - segment.firstIndex]!
+      segment.offsets.length = index - segment.firstIndex
+      hasExcess = true
+    }
     discardInMemoryFrom(index)
-    return ok()
+    return await settle()
   }
 
   function discardInMemoryFrom (index: number) {
@@ -184,11 +206,10 @@
   async function reset (nextIndex: number): AsyncStorageResult {
     // The newest file is removed first, so that a crash in between leaves a contiguous log that the snapshot covers.
     const emptied = await truncateFrom(0)
-    if (emptied.isErr()) return emptied
     entries = []
     sizes = []
     baseIndex = nextIndex
-    return ok()
+    return emptied
   }
 
   async function dropBefore (index: number): AsyncStorageResult {
@@ -197,15 +218,8 @@
     entries = entries.slice(dropped)
     sizes = sizes.slice(dropped)
     baseIndex += dropped
-    while (segments.length > 1 && segments[1]!.firstIndex <= baseIndex) {
-      const { path } = segments[0]!
-      const removed = await attempt(path, () => fs.remove(path))
-      if (removed.isErr()) return removed
-      const synced = await syncDir()
-      if (synced.isErr()) return synced
-      segments.shift()
-    }
-    return ok()
+    while (segments.length > 1 && segments[1]!.firstIndex <= baseIndex) obsolete.push(segments.shift()!.path)
+    return await settle()
   }
 
   function slice (from: number, maxBytes: number): LogEntry[] {
@@ -229,6 +243,7 @@
     truncateFrom,
     reset,
     dropBefore,
+    isSettled: () => !hasExcess && obsolete.length === 0 && !isDirUnsynced,
     failure: () => firstFailure,
     close: closeFile
   })
