Refuse deeply nested commands, on which a leader failed while it wrote them

What callers would see: the control VM that gets the change reports an internal error and takes no part in its group any more; sent again, the change ends the part of the next one. Cause: the writer of the log encodes entries recursively.

--- a/packages/control/src/api/operator-service.ts
+++ b/packages/control/src/api/operator-service.ts
@@ -1,5 +1,5 @@
 import { createHash } from 'node:crypto'
-import { canonicalJson, listsSchema, type Clock, type ListsDocument, type ProposeError, type ReplicatedLog } from '@orioleslip/core'
+import { canonicalJson, isNestedDeeperThan, listsSchema, MAX_NESTING, type Clock, type ListsDocument, type ProposeError, type ReplicatedLog } from '@orioleslip/core'
 import type { Logger } from 'pino'
 import type { AuditEntry } from '../audit/chain.js'
 import type { EditContent, EditReply, ListsCommand, ListsReply } from '../lists/commands.js'
@@ -28,6 +28,9 @@
 const MAX_PROBLEM_CHARS = 300
 
 function checkLists (raw: unknown): EditContent {
+  if (isNestedDeeperThan(raw, MAX_NESTING)) {
+    return { kind: 'invalid', problems: [`the lists have more than ${MAX_NESTING} levels of arrays and objects`], digest: '' }
+  }
   const res = listsSchema.safeParse(raw)
   if (res.success) return { kind: 'lists', lists: res.data }
   const problems = res.error.issues.slice(0, MAX_PROBLEMS).map((issue) =>
--- a/packages/control/src/replication/cluster.test.ts
+++ b/packages/control/src/replication/cluster.test.ts
@@ -251,3 +251,16 @@
   await cluster.converge()
   t.deepEqual(leader.machine.applied, ['a', 'b'])
 })
+
+// Guards against an entry on which the leader fails while it writes it to its log, and after it each further leader that the operator asks.
+test('a deeply nested command is refused, and the group goes on', async (t) => {
+  const cluster = createCluster(3, 10)
+  const leader = await cluster.boot()
+  for (const levels of [100, 1500, 2000, 2500, 2690, 2700, 2710, 3000, 10_000]) {
+    const cmd = JSON.parse('['.repeat(levels) + ']'.repeat(levels)) as string
+    t.is((await cluster.propose(leader.vmId, cmd))._unsafeUnwrapErr().kind, 'refused', `${levels} levels`)
+  }
+  t.true((await cluster.propose(leader.vmId, 'a')).isOk())
+  t.is(cluster.leader(), leader)
+  t.deepEqual(cluster.violations, [])
+})
--- a/packages/control/src/replication/proposals.ts
+++ b/packages/control/src/replication/proposals.ts
@@ -1,5 +1,5 @@
 import { randomUUID } from 'node:crypto'
-import type { ProposeError } from '@orioleslip/core'
+import { isNestedDeeperThan, MAX_NESTING, type ProposeError } from '@orioleslip/core'
 import { err, ok, type Result } from 'neverthrow'
 import { pack, unpack } from '../storage/record.js'
 import type { LogEntry } from '../storage/entry.js'
@@ -17,6 +17,9 @@
 export async function propose (replica: Replica, cmd: unknown): Promise<ProposeResult> {
   const refusal = refusalOf(replica)
   if (refusal !== undefined) return err({ kind: 'refused', message: refusal })
+  if (isNestedDeeperThan(cmd, MAX_NESTING)) {
+    return err({ kind: 'refused', message: `the command has more than ${MAX_NESTING} levels of arrays and objects; flatten it` })
+  }
   const packed = pack(cmd)
   const { commandBytes } = replica.settings
   if (packed.length > commandBytes) {
