Judge no calls of nodes that name no fingerprint

What callers would see while versions are mixed: after two crashes all calls that entered at nodes of the earlier version are refused. Cause: these calls name no fingerprint, and all of them counted as one request, with fingerprint 0. Change: such calls pass the executor without the guard.

--- a/packages/node/src/calls/executor.ts
+++ b/packages/node/src/calls/executor.ts
@@ -1,15 +1,16 @@
 import {
-  formatTraceParent, HEADERS, notRun, unknownOutcome,
+  HEADERS, notRun, unknownOutcome,
   type CallEnd, type Clock, type Permit, type Refusal, type StoredResponse, type TargetGate
 } from '@orioleslip/core'
 import type { RunningCall } from '../crashes/crash-detector.js'
-import type { CrashGuard } from '../crashes/crash-guard.js'
+import { noCrashGuard, type ExecutorCrashes } from '../crashes/no-crash-guard.js'
 import { readAll } from '../links/byte-queue.js'
 import type { IncomingCall } from '../links/incoming-call.js'
 import type { CallHead, CallReport } from '../links/messages.js'
 import { isSameProcess, type Announcement, type LocalTarget } from '../target/local-target.js'
 import type { TargetReply } from '../target/target-client.js'
 import { startDeadline, type CallDeadline } from './call-deadline.js'
+import { defaultTargetHeaders } from './default-target-headers.js'
 import type { InboundCall, InboundCalls } from './inbound-calls.js'
 import { forwardResponse, type ResponseEnd } from './forward-response.js'
 import { receiveTargetBody } from './target-body.js'
@@ -50,9 +51,6 @@
   /** Another process than the announced one has responded, and did not run the call. */
   | { kind: 'misdirected', refusal: Refusal }
 
-/** The part of the crash guard that the executor uses. */
-export type ExecutorCrashes = Pick<CrashGuard, 'admit' | 'refusalBeforeSend' | 'started' | 'completed'>
-
 type TargetHead = Extract<TargetReply, { kind: 'head' }>
 
 /** Builds the headers of a call to the local target. */
@@ -63,9 +61,14 @@
   const { target, gate, inbound, guard, clock } = options
   const { targetHeaders = defaultTargetHeaders, isForeignResponse = () => false } = options
   const { checkResponse = () => ({ kind: 'ran' }), readNotices = createNoticeReader(HEADERS) } = options
-  const { crashes = noCrashGuard } = options
   const { onRefused = () => {}, onSent = () => {}, onNotices = () => {} } = options
 
+  /** Calls from nodes of earlier versions have no fingerprint by which they could be told apart. */
+  const crashGuardOf = ({ fingerprint }: CallHead): { fingerprint: number, crashes: ExecutorCrashes } =>
+    fingerprint === undefined || options.crashes === undefined
+      ? { fingerprint: 0, crashes: noCrashGuard }
+      : { fingerprint, crashes: options.crashes }
+
   const reportOf = (call: InboundCall): CallReport => {
     const load = gate.load()
     const leavingProcess = target.leavingProcess()
@@ -130,8 +133,8 @@
 
   const execute = async (ready: ReadyCall): Promise<void> => {
     const { call, deadline, self, guardedRun } = ready
-    const { fingerprint = NO_FINGERPRINT, service } = call.head
-    const pending = crashes.admit(fingerprint, service, deadline.signal)
+    const { fingerprint, crashes } = crashGuardOf(call.head)
+    const pending = crashes.admit(fingerprint, call.head.service, deadline.signal)
     const admission = pending instanceof Promise ? await pending : pending
     if (admission.kind === 'refused') {
       releaseClaim(guardedRun)
@@ -146,7 +149,7 @@
 
   const runAtTarget = async ({ call, deadline, self, bytes, guardedRun }: ReadyCall, asSuspect: boolean): Promise<void> => {
     const { head } = call
-    const { fingerprint = NO_FINGERPRINT } = head
+    const { fingerprint, crashes } = crashGuardOf(head)
     const entered = await gate.enter({
       priority: head.root.priority,
       opKey: head.opKey,
@@ -272,16 +275,6 @@
   running: RunningCall
 }
 
-/** Fingerprint of calls from nodes of earlier versions, which name none. */
-const NO_FINGERPRINT = 0
-
-const noCrashGuard: ExecutorCrashes = {
-  admit: () => ({ kind: 'run', asSuspect: false, release: () => {} }),
-  refusalBeforeSend: () => undefined,
-  started: (fingerprint) => ({ fingerprint, ended: () => {}, lost: () => Promise.resolve(false) }),
-  completed: () => {}
-}
-
 /** Releases a claim in the background. The refusal need not wait for it, since this executor does not dispatch the call any more. */
 function releaseClaim (guardedRun: GuardedRun | undefined): void {
   guardedRun?.notSent().catch(() => undefined)
@@ -300,17 +293,6 @@
   call.end(report)
 }
 
-function defaultTargetHeaders (call: IncomingCall, deadline: CallDeadline, self: InboundCall): string[] {
-  const headers: string[] = []
-  const own = new Set<string>([HEADERS.traceparent, HEADERS.timeoutMs, HEADERS.requestId])
-  const raw = call.head.headers
-  for (let i = 0; i + 1 < raw.length; i += 2) if (!own.has(raw[i]!)) headers.push(raw[i]!, raw[i + 1]!)
-  headers.push(HEADERS.traceparent, formatTraceParent({ traceId: self.root.traceId, spanId: self.spanId, flags: self.traceFlags }))
-  headers.push(HEADERS.timeoutMs, String(Math.max(1, Math.floor(deadline.remainingMs()))))
-  headers.push(HEADERS.requestId, self.root.requestId)
-  return headers
-}
-
 type TargetEnd = { end: ResponseEnd, status: number, latencyMs: number, self: InboundCall }
 
 function callEndOf ({ end, status, latencyMs, self }: TargetEnd, deadline: CallDeadline): CallEnd {
