Sync each removal of a segment file, and keep a replica whose failed write was undone

What callers would see: a replica that does not start after a power loss, since its log has a gap; a replica that takes no part until its restart after one write failed with an error of the disk. Cause: the removals of several files shared one sync of the folder, while a power loss keeps or undoes each of them by itself; and failures of writes were recorded as final although the write was undone. After: the tests of storage, of storage faults and of the model of random faults pass.

--- a/packages/control/src/storage/segment-log.ts
+++ b/packages/control/src/storage/segment-log.ts
@@ -107,18 +107,20 @@
   /** Removes from the disk what is no longer part of the log. Has to succeed before the next write, so that a restart finds no gap. */
   async function settle (): AsyncStorageResult {
     if (obsolete.length > 0) await closeFile()
-    while (obsolete.length > 0) {
+    while (isDirUnsynced || obsolete.length > 0) {
+      // Each removal is synced before the next one, as a power loss could undo any of several and leave a gap.
+      if (isDirUnsynced) {
+        const synced = await syncDir()
+        if (synced.isErr()) return synced
+        isDirUnsynced = false
+        continue
+      }
       const path = obsolete[0]!
       const removed = await attempt(path, () => fs.remove(path))
       if (removed.isErr()) return recordFailure(removed.error)
       obsolete.shift()
       isDirUnsynced = true
     }
-    if (isDirUnsynced) {
-      const synced = await syncDir()
-      if (synced.isErr()) return synced
-      isDirUnsynced = false
-    }
     const segment = segments.at(-1)
     if (!hasExcess || segment === undefined) return ok()
     const opened = await openLast()
@@ -141,8 +143,8 @@
     const named = synced.isOk() ? await syncDir() : synced
     if (named.isErr()) {
       await attempt(path, opened.value.close)
+      if (named.error.kind === 'syncFailed') return recordFailure(named.error)
       obsolete.push(path)
-      recordFailure(named.error)
       const settled = await settle()
       return settled.isErr() ? settled : named
     }
@@ -169,9 +171,8 @@
     const written = await attempt(segment.path, () => opened.value.write(Buffer.concat(records), segment.size))
     const synced = written.isOk() ? await attemptSync(segment.path, opened.value.sync) : written
     if (synced.isErr()) {
+      if (synced.error.kind === 'syncFailed') return recordFailure(synced.error)
       hasExcess = true
-      recordFailure(synced.error)
-      if (synced.error.kind === 'syncFailed') return synced
       const undone = await settle()
       return undone.isErr() ? undone : synced
     }
@@ -206,6 +207,7 @@
   async function reset (nextIndex: number): AsyncStorageResult {
     // The newest file is removed first, so that a crash in between leaves a contiguous log that the snapshot covers.
     const emptied = await truncateFrom(0)
+    if (emptied.isErr() && emptied.error.kind !== 'full') return emptied
     entries = []
     sizes = []
     baseIndex = nextIndex
--- a/packages/control/src/storage/store.test.ts
+++ b/packages/control/src/storage/store.test.ts
@@ -143,6 +143,40 @@
   t.like((await open(disk))._unsafeUnwrapErr(), { kind: 'readOnly' })
 })
 
+// Guards against a log with a gap after a power loss, which keeps or undoes each removal of a file since the last sync of the folder.
+test('each removal of a segment file is synced before the next one', async (t) => {
+  const operationsOf = async (run: (store: Awaited<ReturnType<typeof openOk>>) => Promise<unknown>) => {
+    const { disk, store } = await createFilledDisk(150)
+    const operations: DiskOperation[] = []
+    disk.fault = (operation) => {
+      operations.push(operation)
+      return undefined
+    }
+    await run(store)
+    return operations.filter((operation) => operation === 'remove' || operation === 'syncDir')
+  }
+  for (const run of [
+    (store: Awaited<ReturnType<typeof openOk>>) => store.log.truncateFrom(3),
+    (store: Awaited<ReturnType<typeof openOk>>) => store.log.dropBefore(18),
+    (store: Awaited<ReturnType<typeof openOk>>) => store.log.reset(40)
+  ]) {
+    const operations = await operationsOf(run)
+    t.true(operations.filter((operation) => operation === 'remove').length > 1)
+    t.deepEqual(operations, operations.map((_, i) => i % 2 === 0 ? 'remove' : 'syncDir'))
+  }
+})
+
+// Guards against a replica that takes no part until its restart after a write that failed and was undone.
+test('a write that fails with an error of the disk is undone, and the next one succeeds', async (t) => {
+  const { disk, store } = await createFilledDisk()
+  disk.fault = (operation) => operation === 'write' ? 'EIO' : undefined
+  t.like((await store.log.append([entry(21)]))._unsafeUnwrapErr(), { kind: 'io' })
+  disk.fault = undefined
+  t.true(store.log.isSettled())
+  t.true((await store.log.append([entry(21)])).isOk())
+  t.deepEqual(contentOf(await openOk(disk)), range(1, 21))
+})
+
 // Guards against a replica that starts with an emptied log under the storage id that acknowledged the lost entries: a crash while its
 // damaged files are moved aside, or the removal of its log files, leaves only a part of the folder.
 test('a folder without its log files is reported as damaged, and a crash at any step of moving damaged files aside is safe', async (t) => {
