--- a/packages/node/src/crashes/crash-guard.test.ts
+++ b/packages/node/src/crashes/crash-guard.test.ts
@@ -71,6 +71,15 @@
   t.false(asSuspect(await admit('c', 4)))
 })
 
+// Guards against a crash that the other nodes don't accept because the target was running too many calls.
+test('a crash with more calls than a report can name reaches the other nodes', async (t) => {
+  const { admit, crash } = createFleet(['a', 'b'])
+  await crash('a', Array.from({ length: 600 }, (_, i) => i + 1))
+  t.deepEqual([asSuspect(await admit('b', 512)), asSuspect(await admit('b', 600))], [false, false])
+  t.is(refusalCode(await admit('b', 512)), 'no-target')
+  t.is(refusalCode(await admit('b', 600)), undefined)
+})
+
 // Guards against several suspects at one target, of which its next crash would not show the one to blame.
 test('suspects run one at a time at each target, and one that completes is cleared on all nodes', async (t) => {
   const { admit, crash, guard } = createFleet(['a', 'b', 'c'])
--- a/packages/node/src/crashes/crash-guard.ts
+++ b/packages/node/src/crashes/crash-guard.ts
@@ -4,7 +4,7 @@
 import { processIdOf } from '../target/local-target.js'
 import { createCrashDetector, type CrashDetector, type CrashDetectorOptions, type RunningCall } from './crash-detector.js'
 import { createCrashReports, type CrashReports, type CrashReportsOptions } from './crash-reports.js'
-import { createCrashTable } from './crash-table.js'
+import { createCrashTable, MAX_FINGERPRINTS_PER_CRASH } from './crash-table.js'
 import { createSuspectLane } from './suspect-lane.js'
 
 /** Decision on a call that is about to be sent to the local target. */
@@ -59,8 +59,9 @@
     clock,
     host,
     ...(probe === undefined ? {} : { probe }),
-    onCrash: async (process, fingerprints) => {
+    onCrash: async (process, running) => {
       const { service, instance } = process
+      const fingerprints = [...new Set(running)].slice(0, MAX_FINGERPRINTS_PER_CRASH)
       const crash = { processId: processIdOf(process), fingerprints }
       table.record(crash)
       const blocked = fingerprints.filter((fingerprint) => table.judge(fingerprint).kind === 'blocked')
--- a/packages/node/src/crashes/crash-reports.ts
+++ b/packages/node/src/crashes/crash-reports.ts
@@ -1,7 +1,7 @@
 import { z } from 'zod'
 import type { MemberRecord, MembersView } from '@orioleslip/core'
 import type { PeerPool } from '../links/pool.js'
-import type { Crash, CrashTable, CrashTableContent } from './crash-table.js'
+import { MAX_BLOCKED, MAX_CRASHES, MAX_FINGERPRINTS_PER_CRASH, type Crash, type CrashTable, type CrashTableContent } from './crash-table.js'
 
 /** Kinds of requests between nodes about crashes. */
 const CRASH = 'crash'
@@ -9,10 +9,10 @@
 const TABLE = 'crash-table'
 
 const uint = z.number().int().min(0)
-const crashSchema = z.strictObject({ processId: uint, fingerprints: z.array(uint).max(512) })
+const crashSchema = z.strictObject({ processId: uint, fingerprints: z.array(uint).max(MAX_FINGERPRINTS_PER_CRASH) })
 const tableSchema = z.strictObject({
-  crashes: z.array(crashSchema).max(256),
-  blocked: z.array(z.strictObject({ fingerprint: uint, leftMs: z.number().min(0) })).max(1024)
+  crashes: z.array(crashSchema).max(MAX_CRASHES),
+  blocked: z.array(z.strictObject({ fingerprint: uint, leftMs: z.number().min(0) })).max(MAX_BLOCKED)
 })
 
 /** Longest wait until the nodes of the service know of a crash, in ms; a caller may retry the call afterwards. */
--- a/packages/node/src/crashes/crash-table.ts
+++ b/packages/node/src/crashes/crash-table.ts
@@ -35,9 +35,9 @@
 /** Crashes without which a request is not blocked: one may have another cause, or another request of the same moment. */
 const BLOCKING_CRASHES = 2
 /** Limits on what an attacker with many different requests can make the nodes keep. */
-const MAX_CRASHES = 256
-const MAX_FINGERPRINTS_PER_CRASH = 512
-const MAX_BLOCKED = 1024
+export const MAX_CRASHES = 256
+export const MAX_FINGERPRINTS_PER_CRASH = 512
+export const MAX_BLOCKED = 1024
 
 type Block = { untilMs: number, forgetMs: number }
 
