--- a/packages/node/src/crashes/crash-table.test.ts
+++ b/packages/node/src/crashes/crash-table.test.ts
@@ -88,3 +88,13 @@
   next.merge(table.export())
   t.deepEqual([POISON, 2, 3].map((each) => next.judge(each).kind), ['blocked', 'suspect', 'clear'])
 })
+
+// Guards against a block that becomes longer without a further crash, by the table of a node that has heard of one crash only.
+test('a crash that is explained is not counted again', (t) => {
+  const { table } = createTable()
+  const crashes = [10, 11].map((processId) => ({ processId, fingerprints: [POISON, processId] }))
+  for (const crash of crashes) table.record(crash)
+  table.merge({ crashes, blocked: [] })
+  t.deepEqual(table.judge(POISON), { kind: 'blocked', leftMs: 60_000 })
+  t.is(table.judge(10).kind, 'clear')
+})
--- a/packages/node/src/crashes/crash-table.ts
+++ b/packages/node/src/crashes/crash-table.ts
@@ -136,7 +136,8 @@
         const known = blocked.get(fingerprint)
         if (known === undefined || known.untilMs < untilMs) blocked.set(fingerprint, { untilMs, forgetMs: untilMs + LATER_BLOCK_MS })
       }
-      for (const crash of content.crashes) record(crash)
+      // A crash that is explained here may have reached the other node alone.
+      for (const crash of content.crashes) if (!crash.fingerprints.some((fingerprint) => blocked.has(fingerprint))) record(crash)
     }
   }
 }
