Compute what a quorum has reached in one place, and flatten the loop that removes log files

The loop of settle in segment-log.ts has one exit and no continue. No decision changes; the tests of packages/control pass unchanged.

--- a/packages/control/src/replication/leader.ts
+++ b/packages/control/src/replication/leader.ts
@@ -1,13 +1,13 @@
 import { err } from 'neverthrow'
 import type { LogEntry } from '../storage/entry.js'
 import { applyCommitted } from './apply.js'
-import { reachedByQuorum, votersOf } from './configuration.js'
+import { votersOf } from './configuration.js'
 import { runMembership } from './membership.js'
 import { createNotifier } from './synchronization.js'
 import { proposeEntry } from './proposals.js'
 import { runHeartbeat, runReplicator } from './replicator.js'
 import { handleStorageError, refreshConfiguration, termAt, type Leadership, type Replica } from './replica.js'
-import { quorumSilenceMs, stepDown } from './roles.js'
+import { quorumSilenceMs, reachedByMembers, stepDown } from './roles.js'
 import { startTask } from './tasks.js'
 
 /** Starts the leadership of this replica in the current term. */
@@ -97,10 +97,8 @@
 
 /** Commits the entries that a quorum has on disk. Entries of earlier terms are only committed together with one of this term. */
 export function advanceCommit (replica: Replica, leadership: Leadership) {
-  const { config, self, store } = replica
-  if (leadership.ended || config === undefined) return
-  const index = reachedByQuorum(config, ({ storageId }) =>
-    storageId === self.storageId ? store.log.lastIndex() : leadership.progress.get(storageId)?.matchIndex ?? 0)
+  if (leadership.ended) return
+  const index = reachedByMembers(replica, replica.store.log.lastIndex(), (progress) => progress.matchIndex)
   if (index <= replica.commitIndex || termAt(replica, index) !== leadership.term) return
   replica.commitIndex = index
   applyCommitted(replica)
--- a/packages/control/src/replication/reads.ts
+++ b/packages/control/src/replication/reads.ts
@@ -1,9 +1,8 @@
 import type { NotCurrent } from '@orioleslip/core'
 import { err, ok, type Result } from 'neverthrow'
-import { reachedByQuorum } from './configuration.js'
 import type { ReadBasis } from './messages.js'
 import { sendRequest, type Replica } from './replica.js'
-import { leaseMs } from './roles.js'
+import { leaseMs, reachedByMembers } from './roles.js'
 
 /** Commit index that covers every entry accepted so far; undefined without a valid lease. */
 export function leasedIndex (replica: Replica): number | undefined {
@@ -30,11 +29,7 @@
 }
 
 /** The latest round of reads that a quorum, including this leader, has confirmed. */
-function confirmedRound ({ config, self, leadership }: Replica): number {
-  if (config === undefined || leadership === undefined) return -Infinity
-  return reachedByQuorum(config, ({ storageId }) =>
-    storageId === self.storageId ? Infinity : leadership.progress.get(storageId)?.confirmedRound ?? -Infinity)
-}
+const confirmedRound = (replica: Replica): number => reachedByMembers(replica, Infinity, (progress) => progress.confirmedRound)
 
 /** Ok once this replica has applied everything that was accepted before the call. */
 export async function confirmCurrent (replica: Replica, basis: ReadBasis): Promise<Result<void, NotCurrent>> {
--- a/packages/control/src/replication/roles.ts
+++ b/packages/control/src/replication/roles.ts
@@ -20,12 +20,17 @@
 }
 
 /** The age of the latest contact with a quorum, including this replica. */
-function quorumAgeMs ({ leadership, config, self }: Replica, ageMs: (progress: Progress) => number): number {
-  if (leadership === undefined || config === undefined) return Infinity
-  return -reachedByQuorum(config, ({ storageId }) => {
+const quorumAgeMs = (replica: Replica, ageMs: (progress: Progress) => number): number =>
+  -reachedByMembers(replica, 0, (progress) => -ageMs(progress))
+
+/** The greatest value that a quorum has reached, from this leader's own and the progress of the others; -Infinity without a leadership. */
+export function reachedByMembers (replica: Replica, ownValue: number, valueOf: (progress: Progress) => number): number {
+  const { leadership, config, self } = replica
+  if (leadership === undefined || config === undefined) return -Infinity
+  return reachedByQuorum(config, ({ storageId }) => {
+    if (storageId === self.storageId) return ownValue
     const progress = leadership.progress.get(storageId)
-    if (storageId === self.storageId) return 0
-    return progress === undefined ? -Infinity : -ageMs(progress)
+    return progress === undefined ? -Infinity : valueOf(progress)
   })
 }
 
--- a/packages/control/src/storage/segment-log.ts
+++ b/packages/control/src/storage/segment-log.ts
@@ -107,15 +107,13 @@
   /** Removes from the disk what is no longer part of the log. Has to succeed before the next write, so that a restart finds no gap. */
   async function settle (): AsyncStorageResult {
     if (obsolete.length > 0) await closeFile()
-    while (isDirUnsynced || obsolete.length > 0) {
+    for (;;) {
       // Each removal is synced before the next one, as a power loss could undo any of several and leave a gap.
-      if (isDirUnsynced) {
-        const synced = await syncDir()
-        if (synced.isErr()) return synced
-        isDirUnsynced = false
-        continue
-      }
-      const path = obsolete[0]!
+      const synced = isDirUnsynced ? await syncDir() : ok()
+      if (synced.isErr()) return synced
+      isDirUnsynced = false
+      const path = obsolete[0]
+      if (path === undefined) break
       const removed = await attempt(path, () => fs.remove(path))
       if (removed.isErr()) return recordFailure(removed.error)
       obsolete.shift()
