Look up the crash guard of a call once, and name the ended process in one place

The executor built the pair of fingerprint and guard twice for each call; it is passed on now. LocalTarget compared the ended process in two ways, and the guard's options named a type that they already had. No decision changes; the tests of packages/node that concern calls, crashes, targets, links and routes pass unchanged.

--- a/packages/node/src/calls/executor.ts
+++ b/packages/node/src/calls/executor.ts
@@ -64,7 +64,7 @@
   const { onRefused = () => {}, onSent = () => {}, onNotices = () => {} } = options
 
   /** Calls from nodes of earlier versions have no fingerprint by which they could be told apart. */
-  const crashGuardOf = ({ fingerprint }: CallHead): { fingerprint: number, crashes: ExecutorCrashes } =>
+  const crashGuardOf = ({ fingerprint }: CallHead): GuardedCall =>
     fingerprint === undefined || options.crashes === undefined
       ? { fingerprint: 0, crashes: noCrashGuard }
       : { fingerprint, crashes: options.crashes }
@@ -133,7 +133,8 @@
 
   const execute = async (ready: ReadyCall): Promise<void> => {
     const { call, deadline, self, guardedRun } = ready
-    const { fingerprint, crashes } = crashGuardOf(call.head)
+    const guarded = crashGuardOf(call.head)
+    const { fingerprint, crashes } = guarded
     const pending = crashes.admit(fingerprint, call.head.service, deadline.signal)
     const admission = pending instanceof Promise ? await pending : pending
     if (admission.kind === 'refused') {
@@ -141,15 +142,16 @@
       return refuseCall(call, admission.refusal, reportOf(self))
     }
     try {
-      await runAtTarget(ready, admission.asSuspect)
+      await runAtTarget(ready, guarded, admission.asSuspect)
     } finally {
       admission.release()
     }
   }
 
-  const runAtTarget = async ({ call, deadline, self, bytes, guardedRun }: ReadyCall, asSuspect: boolean): Promise<void> => {
+  const runAtTarget = async (
+    { call, deadline, self, bytes, guardedRun }: ReadyCall, { fingerprint, crashes }: GuardedCall, asSuspect: boolean
+  ): Promise<void> => {
     const { head } = call
-    const { fingerprint, crashes } = crashGuardOf(head)
     const entered = await gate.enter({
       priority: head.root.priority,
       opKey: head.opKey,
@@ -268,6 +270,9 @@
   guardedRun: GuardedRun | undefined
 }
 
+/** Fingerprint of a call and the guard that judges it. */
+type GuardedCall = { fingerprint: number, crashes: ExecutorCrashes }
+
 type FailedCall = Omit<ReadyCall, 'bytes'> & {
   permit: Permit
   latencyMs: () => number
--- a/packages/node/src/crashes/crash-guard.ts
+++ b/packages/node/src/crashes/crash-guard.ts
@@ -1,7 +1,6 @@
-import { notRun, type CancelSignal, type Clock, type MembersView, type Refusal } from '@orioleslip/core'
+import { notRun, type CancelSignal, type Clock, type Refusal } from '@orioleslip/core'
 import type { Log } from '../members/self-record.js'
-import type { Announcement } from '../target/local-target.js'
-import { processIdOf } from '../target/local-target.js'
+import { processIdOf, type Announcement } from '../target/local-target.js'
 import { createCrashDetector, type CrashDetector, type CrashDetectorOptions, type RunningCall } from './crash-detector.js'
 import { createCrashReports, type CrashReports, type CrashReportsOptions } from './crash-reports.js'
 import { createCrashTable, MAX_FINGERPRINTS_PER_CRASH } from './crash-table.js'
@@ -35,7 +34,7 @@
   clock: Clock
   log: Log
   host: string
-  members: CrashReportsOptions['members'] & Pick<MembersView, 'ofService'>
+  members: CrashReportsOptions['members']
   request: CrashReportsOptions['request']
   /** Called when the local target process has ended by itself. */
   onCrash: (process: Announcement) => void
--- a/packages/node/src/target/local-target.ts
+++ b/packages/node/src/target/local-target.ts
@@ -50,6 +50,7 @@
   let active: { announcement: Announcement, client: TargetClient } | undefined
   let ended: Announcement | undefined
   let started: (capacity: number, sameProcess: boolean) => void = () => {}
+  const hasEnded = (process: Announcement) => ended !== undefined && isSameProcess(ended, process)
   const replace = (announcement: Announcement) => {
     const address: PeerAddress = { host, port: announcement.port }
     const old = active
@@ -82,9 +83,9 @@
       ended = process
       return true
     },
-    hasEnded: (process) => ended !== undefined && isSameProcess(ended, process),
+    hasEnded,
     markRunning: () => { ended = undefined },
-    current: () => active === undefined || (ended !== undefined && isSameProcess(ended, active.announcement)) ? undefined : active,
+    current: () => active !== undefined && hasEnded(active.announcement) ? undefined : active,
     onStarted: (listener) => { started = listener }
   }
 }
