--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -21,7 +21,8 @@
 const HEARTBEAT_MS = 1500
 const CONTROLS = 5
 const LOST_DISKS = 2
-const RUN_LIMIT_MS = 110_000
+const RUN_LIMIT_MS = 115_000
+const RESTART_DELAY_MS = 500
 
 /** Words of `run` of a role in the deploy file. */
 function commandOf (role) {
@@ -86,7 +87,9 @@
   const dir = mkdtempSync(join(tmpdir(), 'review-'))
   const children = new Map()
   const closers = []
+  const closing = { isClosing: false }
   const end = async () => {
+    closing.isClosing = true
     const alive = [...children.values()].filter((child) => child.exitCode === null && child.signalCode === null)
     for (const child of alive) child.kill('SIGKILL')
     await Promise.all(alive.map((child) => once(child, 'exit')))
@@ -102,7 +105,7 @@
   process.on('SIGTERM', () => finish(2))
   process.on('SIGINT', () => finish(2))
   try {
-    const held = await run(await startFleet({ note, dir, children, closers }))
+    const held = await run(await startFleet({ note, dir, children, closers, closing }))
     await finish(held === undefined ? 2 : held ? 0 : 1)
   } catch (cause) {
     note(`failed: ${cause instanceof Error ? cause.stack : cause}`)
@@ -111,11 +114,13 @@
 }
 
 /** Starts the control processes; nodes are started by `startNode`. */
-async function startFleet ({ note, dir, children, closers }) {
+async function startFleet ({ note, dir, children, closers, closing }) {
   const { prefix, port } = await freePlace()
   const controls = Array.from({ length: CONTROLS }, (_, i) => `${prefix}.${i + 1}`)
   let nextIp = CONTROLS + 1
 
+  /** True only when the whole system starts for the first time. */
+  let isFirstStart = true
   const settings = (name, ip, isControl, service) => `NodeId = "${name}"
 Role = "${isControl ? 'control' : 'node'}"
 NodeClass = "${isControl ? 'core' : 'sidecar'}"
@@ -125,7 +130,7 @@
 Region = "nordurland"
 InternalPorts = [${port}, ${port + 15}]
 SeedNodes = [${controls.slice(0, 3).map((seed) => `"${seed}:${port + 16}"`).join(', ')}]
-Bootstrap = true
+Bootstrap = ${isFirstStart}
 InTolerance = ${isControl}
 Discovery = "local"
 EntryMode = "local"
@@ -150,8 +155,9 @@
 Zones = 0
 Regions = 0
 `
+  const settingsFile = (name) => join(dir, `${name}.toml`)
   const startProcess = (name, ip, role, service) => {
-    const file = join(dir, `${name}.toml`)
+    const file = settingsFile(name)
     writeFileSync(file, settings(name, ip, role === 'control', service))
     if (role === 'control') mkdirSync(join(dir, name), { recursive: true })
     const [program, ...words] = commandOf(role)
@@ -162,10 +168,26 @@
     note(`started ${name} (${role})`)
     return child
   }
-  for (const [i, ip] of controls.entries()) startProcess(`core-${i + 1}`, ip, 'control')
+  const cores = controls.map((ip, i) => {
+    const core = { name: `core-${i + 1}`, api: `${ip}:${port + 16}`, ends: [], child: undefined }
+    const start = () => {
+      core.child = startProcess(core.name, ip, 'control')
+      core.child.once('exit', (code, signal) => {
+        if (closing.isClosing) return
+        core.ends.push({ code, signal })
+        note(`${core.name} has ended by itself (code ${code}, signal ${signal})`)
+        // DEPLOY.md: a process that exits is restarted after a short delay.
+        setTimeout(() => { if (!closing.isClosing) start() }, RESTART_DELAY_MS)
+      })
+    }
+    start()
+    return core
+  })
 
   const fleet = {
     note,
+    cores,
+    firstStartOver: () => { isFirstStart = false },
     closers,
     /** Starts the node of a machine whose server is of `service`. */
     startNode: (name, service) => {
@@ -173,7 +195,12 @@
       const machine = {
         name, ip, service, outbound: `${ip}:${port + 17}`, admin: `${ip}:${port + 16}`, readiness: `${ip}:${port + 18}`, app: `${ip}:${port + 19}`,
         child: startProcess(name, ip, 'node', service),
-        restart: () => { machine.child = startProcess(name, ip, 'node', service) },
+        /** Another service gets the address of the server: the settings file of the machine names it from now on. */
+        setService: (other) => {
+          machine.service = other
+          writeFileSync(settingsFile(name), settings(name, ip, false, other))
+          note(`the settings file of ${name} names the service ${other}`)
+        },
         signal: (signal) => { note(`${signal} to ${name}`); machine.child.kill(signal) },
         isReady: async () => (await call(machine.readiness, { path: '/ready', timeoutMs: 1000 })).status === 200
       }
@@ -225,7 +252,7 @@
     busy++
     const { req, res } = job
     const requestId = String(req.headers['orioleslip-request-id'])
-    const run = { requestId, service, instance: id, path: req.url, method: req.method, caller: req.headers['orioleslip-caller-service'], arrivedMs: job.arrivedMs }
+    const run = { requestId, service, instance: id, path: req.url, method: req.method, caller: req.headers['orioleslip-caller-service'], arrivedMs: job.arrivedMs, startedMs: Date.now() }
     runs.push(run)
     note(`${service} ${id} runs ${requestId} (${req.method} ${req.url}, expected instance ${req.headers['orioleslip-expected-instance'] ?? 'none'})`)
     let ended = false
