--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -26,7 +26,11 @@
     Listeners: SERVICES.map((service, h) => ({
       Host: `${service}.example`,
       Rules: Array.from({ length: routes / SERVICES.length }, (_, i) => ({
-        Name: `r-${h}-${i}`, RouteType: 'idempotent', TargetLatencyMs: 1500, Priority: 2, Match: { PathPrefix: `/path${h}/${i}/` },
+        Name: `r-${h}-${i}`,
+        RouteType: 'idempotent',
+        TargetLatencyMs: 1500,
+        Priority: 2,
+        Match: { PathPrefix: `/path${h}/${i}/` },
         Action: { Service: service, TimeoutMs: h === 0 && i === 0 ? 5000 + version : 6000, MaxAttempts: 2 }
       }))
     })),
--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -11,12 +11,25 @@
 
 export const REPO = resolve(dirname(fileURLToPath(import.meta.url)), '../..')
 export const TROUBLE = process.env.TROUBLE !== '0'
-export const sleep = (ms) => new Promise((done) => setTimeout(done, ms))
+export const sleep = (ms) => new Promise((resolve) => setTimeout(resolve, ms))
 
 /** Bounds of the standard sites. */
 export const BOUNDS = {
-  SeedLagS: 3, AddrReuseS: 2, ContactMs: 3000, AckMs: 4000, SyncS: 4, DrainMs: 2500, GraceS: 6, LossSlackMs: 200, ConfigApplyMs: 2500,
-  RollbackSlackMs: 250, MaxStretchMs: 5000, RetryBudgetRatio: 0.2, BudgetWindowS: 10, RetryBudgetExtra: 47, RecoveryS: 15
+  SeedLagS: 3,
+  AddrReuseS: 2,
+  ContactMs: 3000,
+  AckMs: 4000,
+  SyncS: 4,
+  DrainMs: 2500,
+  GraceS: 6,
+  LossSlackMs: 200,
+  ConfigApplyMs: 2500,
+  RollbackSlackMs: 250,
+  MaxStretchMs: 5000,
+  RetryBudgetRatio: 0.2,
+  BudgetWindowS: 10,
+  RetryBudgetExtra: 47,
+  RecoveryS: 15
 }
 const HEARTBEAT_MS = 1500
 const CONTROLS = 5
@@ -56,15 +69,15 @@
 /** Sends one request on a connection of its own; resolves with status 0 when no response arrives. */
 export function call (address, { method = 'GET', path = '/', headers = {}, body, timeoutMs = 5000 } = {}) {
   const [host, port] = address.split(':')
-  return new Promise((done) => {
+  return new Promise((resolve) => {
     const req = httpRequest({ host, port, method, path, headers, agent: false }, (res) => {
       const chunks = []
       res.on('data', (chunk) => chunks.push(chunk))
-      res.on('end', () => done({ status: res.statusCode, headers: res.headers, text: Buffer.concat(chunks).toString() }))
-      res.on('error', (cause) => done({ status: 0, headers: {}, text: cause.message }))
+      res.on('end', () => resolve({ status: res.statusCode, headers: res.headers, text: Buffer.concat(chunks).toString() }))
+      res.on('error', (cause) => resolve({ status: 0, headers: {}, text: cause.message }))
     })
     req.setTimeout(timeoutMs, () => req.destroy(new Error('no answer in time')))
-    req.on('error', (cause) => done({ status: 0, headers: {}, text: cause.message }))
+    req.on('error', (cause) => resolve({ status: 0, headers: {}, text: cause.message }))
     req.end(body)
   })
 }
@@ -73,7 +86,11 @@
 
 /** A rule of the desired state. */
 export const rule = (prefix, type, action, priority = 0) => ({
-  Name: `r-${prefix.replaceAll('/', '')}`, RouteType: type, TargetLatencyMs: 1500, Priority: priority, Match: { PathPrefix: prefix },
+  Name: `r-${prefix.replaceAll('/', '')}`,
+  RouteType: type,
+  TargetLatencyMs: 1500,
+  Priority: priority,
+  Match: { PathPrefix: prefix },
   Action: { TimeoutMs: 6000, MaxAttempts: 2, ...action }
 })
 
@@ -193,7 +210,13 @@
     startNode: (name, service) => {
       const ip = `${prefix}.${nextIp++}`
       const machine = {
-        name, ip, service, outbound: `${ip}:${port + 17}`, admin: `${ip}:${port + 16}`, readiness: `${ip}:${port + 18}`, app: `${ip}:${port + 19}`,
+        name,
+        ip,
+        service,
+        outbound: `${ip}:${port + 17}`,
+        admin: `${ip}:${port + 16}`,
+        readiness: `${ip}:${port + 18}`,
+        app: `${ip}:${port + 19}`,
         child: startProcess(name, ip, 'node', service),
         /** Another service gets the address of the server: the settings file of the machine names it from now on. */
         setService: (other) => {
@@ -350,10 +373,10 @@
   const [host, port] = address.split(':')
   const socket = connect({ host, port: Number(port), noDelay: true })
   const connection = { socket, bytes: Buffer.alloc(0), end: undefined, ended: undefined }
-  connection.ended = new Promise((done) => {
+  connection.ended = new Promise((resolve) => {
     const finish = (how) => {
       connection.end ??= how
-      done(connection.end)
+      resolve(connection.end)
     }
     socket.on('data', (chunk) => { connection.bytes = Buffer.concat([connection.bytes, chunk]) })
     socket.on('end', () => finish('closed'))
