--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -16,7 +16,6 @@
   await fleet.until('nodes ready', async () => await entry.isReady() && await beside.isReady())
 
   // The server answers without a length and ends the response with its connection, as PROTOCOL and RULES allow.
-  let complete = 0
   const work = (req, res, run, later) => {
     if (!req.url.includes('unframed')) return res.writeHead(200, { 'content-length': 2 }).end('ok')
     const { requestId } = run
@@ -26,7 +25,6 @@
         if (req.socket.destroyed) return
         req.socket.write(PIECE)
         if (i < PIECES) return
-        complete++
         note(`server has sent the whole body of ${requestId}, ${PIECES * PIECE.length} bytes`)
         req.socket.end()
       })
