--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -119,6 +119,8 @@
     process.exit(code)
   }
   setTimeout(() => { note('the time limit of the case has passed'); finish(2) }, RUN_LIMIT_MS).unref()
+  // Also after an exception that nothing has caught.
+  process.on('exit', () => { for (const child of children.values()) child.kill('SIGKILL') })
   process.on('SIGTERM', () => finish(2))
   process.on('SIGINT', () => finish(2))
   try {
