--- a/packages/control/src/metrics.ts
+++ b/packages/control/src/metrics.ts
@@ -13,10 +13,12 @@
     const { revision, groups, nodes } = report()
     metrics.gauge('control.revision', revision)
     metrics.gauge('control.polling_nodes', nodes.length)
-    for (const { group, role, term, commitIndex } of groups) {
+    metrics.gauge('control.heap_used_bytes', process.memoryUsage().heapUsed)
+    for (const { group, role, term, commitIndex, logBytes } of groups) {
       metrics.gauge(`control.${group}.leader`, role === 'leader' ? 1 : 0)
       metrics.gauge(`control.${group}.term`, term)
       metrics.gauge(`control.${group}.commit_index`, commitIndex)
+      metrics.gauge(`control.${group}.log_bytes`, logBytes)
     }
     await clock.sleep(METRICS_INTERVAL_MS, signal)
   }
--- a/packages/control/src/replication/apply.ts
+++ b/packages/control/src/replication/apply.ts
@@ -49,8 +49,13 @@
   const lastTerm = store.log.entry(lastApplied)?.term
   if (appliedConfig === undefined || lastTerm === undefined) return
   const saved = await store.saveSnapshot({ lastIndex: lastApplied, lastTerm, config: appliedConfig, state: machine.snapshot() })
+  const bytesBefore = store.log.bytes()
   const dropped = saved.isErr()
     ? saved
     : await replica.lock(async () => replica.closed ? saved : await store.log.dropBefore(lastApplied - settings.trailingEntries + 1))
-  if (dropped.isErr()) handleStorageError(replica, dropped.error)
+  if (dropped.isErr()) return handleStorageError(replica, dropped.error)
+  const logBytes = store.log.bytes()
+  replica.logger.info({
+    event: 'snapshot', group: replica.group, lastIndex: lastApplied, freedBytes: bytesBefore - logBytes, logBytes
+  }, 'took a snapshot and dropped the log entries that it makes superfluous')
 }
--- a/packages/control/src/replication/replicated-log.ts
+++ b/packages/control/src/replication/replicated-log.ts
@@ -151,6 +151,7 @@
     ...(leader === undefined ? {} : { leader }),
     commitIndex,
     lastIndex: store.log.lastIndex(),
+    logBytes: store.log.bytes(),
     members: (config?.members ?? []).map((member) => {
       const progress = leadership?.progress.get(member.storageId)
       return { ...member, ...(progress === undefined ? {} : { matchIndex: progress.matchIndex }) }
--- a/packages/control/src/storage/segment-log.ts
+++ b/packages/control/src/storage/segment-log.ts
@@ -18,6 +18,8 @@
   slice: (from: number, maxBytes: number) => LogEntry[]
   /** Encoded size of the entries from an index on. */
   bytesFrom: (index: number) => number
+  /** Encoded size of all entries kept. */
+  bytes: () => number
   /** Writes the entries and syncs once. On an error none of them is kept, but see `isSettled`. */
   append: (entries: LogEntry[]) => AsyncStorageResult
   /** False while the files may still hold entries that were not kept, for want of space; the next write removes them first. */
@@ -239,6 +241,7 @@
     entry: (index) => entries[index - baseIndex],
     slice,
     bytesFrom: (index) => sizes.slice(Math.max(0, index - baseIndex)).reduce((sum, size) => sum + size, 0),
+    bytes: () => sizes.reduce((sum, size) => sum + size, 0),
     append,
     truncateFrom,
     reset,
--- a/packages/control/src/testing/fake-log.ts
+++ b/packages/control/src/testing/fake-log.ts
@@ -15,7 +15,7 @@
 export function createFakeLog<Command, Reply> (machine: Pick<StateMachine<Command, Reply, unknown>, 'apply'>): FakeLog<Command, Reply> {
   const listeners = new Set<(index: number) => void>()
   const status: ReplicaStatus = {
-    group: 'lists', vmId: 'c1', storageId: 's1', role: 'leader', term: 1, commitIndex: 0, lastIndex: 0, members: [], leaseMs: 500
+    group: 'lists', vmId: 'c1', storageId: 's1', role: 'leader', term: 1, commitIndex: 0, lastIndex: 0, logBytes: 0, members: [], leaseMs: 500
   }
   const confirm = () => log.current ? okAsync<void, NotCurrent>(undefined) : errAsync<void, NotCurrent>({ kind: 'notCurrent', message: 'no contact with a quorum' })
   const log: FakeLog<Command, Reply> = {
--- a/packages/core/src/interfaces/replication.ts
+++ b/packages/core/src/interfaces/replication.ts
@@ -27,6 +27,8 @@
   leader?: string
   commitIndex: number
   lastIndex: number
+  /** Encoded size of the entries kept in memory and in log files. */
+  logBytes: number
   members: Array<{ vmId: string, storageId: string, voter: boolean, matchIndex?: number }>
   /** Remaining time of the leader lease in ms; 0 on other replicas. */
   leaseMs: number
