Bound the log of a control VM by bytes, in memory and at the start

All entries are held encoded, outside of the heap, and only the newest 1 MiB also decoded. A start reads the segment files one by one, drops superfluous entries after each and does not read files in which all are superfluous, so it needs no more than running, also on a log that an earlier version wrote (the format is unchanged).

--- a/packages/control/src/replication/apply.ts
+++ b/packages/control/src/replication/apply.ts
@@ -1,6 +1,7 @@
 import { ok } from 'neverthrow'
 import { handleStorageError, type Replica } from './replica.js'
 import { stepDown } from './roles.js'
+import { trailingLimits } from './settings.js'
 import { startTask } from './tasks.js'
 
 /** Applies committed entries in log order and completes the proposals that wait for them. */
@@ -40,19 +41,19 @@
   const snapshotIndex = store.snapshot()?.lastIndex ?? 0
   if (replica.savingSnapshot !== undefined || lastApplied <= snapshotIndex || replica.clock.nowMs() < replica.pausedUntilMs) return false
   if (lastApplied - snapshotIndex >= settings.snapshotEntries) return true
-  return lastApplied % 16 === 0 && store.log.bytesFrom(snapshotIndex + 1) >= settings.snapshotBytes
+  return store.log.bytesFrom(snapshotIndex + 1) >= settings.snapshotBytes
 }
 
-/** Writes a snapshot of the applied state and drops the entries that it covers, except the last `trailingEntries`. */
+/** Writes a snapshot of the applied state and drops the entries that it covers, except the last ones within the limits. */
 async function takeSnapshot (replica: Replica) {
   const { store, machine, settings, appliedConfig, lastApplied } = replica
-  const lastTerm = store.log.entry(lastApplied)?.term
+  const lastTerm = store.log.term(lastApplied)
   if (appliedConfig === undefined || lastTerm === undefined) return
   const saved = await store.saveSnapshot({ lastIndex: lastApplied, lastTerm, config: appliedConfig, state: machine.snapshot() })
   const bytesBefore = store.log.bytes()
   const dropped = saved.isErr()
     ? saved
-    : await replica.lock(async () => replica.closed ? saved : await store.log.dropBefore(lastApplied - settings.trailingEntries + 1))
+    : await replica.lock(async () => replica.closed ? saved : await store.log.dropCovered(lastApplied, trailingLimits(settings)))
   if (dropped.isErr()) return handleStorageError(replica, dropped.error)
   const logBytes = store.log.bytes()
   replica.logger.info({
--- a/packages/control/src/replication/open-replica.ts
+++ b/packages/control/src/replication/open-replica.ts
@@ -6,7 +6,7 @@
 import type { ReplicationTransport } from './messages.js'
 import { withTimeout } from './synchronization.js'
 import type { ReplicationLogger, ReplicationPeer } from './replica.js'
-import type { ReplicationSettings } from './settings.js'
+import { trailingLimits, type ReplicationSettings } from './settings.js'
 
 /** Options of `openReplicaStore`. */
 export type OpenOptions = {
@@ -28,7 +28,9 @@
  */
 export async function openReplicaStore (options: OpenOptions): Promise<Result<Store, StorageError>> {
   const { fileSystem: fs, dir, settings, logger, group, newStorageId } = options
-  const storeOptions = { fs, dir, segmentBytes: settings.segmentBytes, ...(newStorageId === undefined ? {} : { newStorageId }) }
+  const storeOptions = {
+    fs, dir, segmentBytes: settings.segmentBytes, trailing: trailingLimits(settings), ...(newStorageId === undefined ? {} : { newStorageId })
+  }
   const opened = await openStore(storeOptions)
   if (opened.isOk() || opened.error.kind !== 'damaged') return opened
   logger.error({ event: 'storage-fault', group, file: opened.error.file, offset: opened.error.offset }, opened.error.message)
--- a/packages/control/src/replication/replica.ts
+++ b/packages/control/src/replication/replica.ts
@@ -120,7 +120,7 @@
 export function termAt (replica: Replica, index: number): number | undefined {
   if (index === 0) return 0
   const snapshot = replica.store.snapshot()
-  return replica.store.log.entry(index)?.term ?? (snapshot?.lastIndex === index ? snapshot.lastTerm : undefined)
+  return replica.store.log.term(index) ?? (snapshot?.lastIndex === index ? snapshot.lastTerm : undefined)
 }
 
 /** Index and term of the last entry. */
@@ -131,17 +131,10 @@
 
 /** Finds the latest configuration after the log has changed. */
 export function refreshConfiguration (replica: Replica) {
-  const { log } = replica.store
-  for (let index = log.lastIndex(); index >= log.firstIndex(); index--) {
-    const body = log.entry(index)?.body
-    if (body?.kind !== 'config') continue
-    replica.config = body.config
-    replica.configIndex = index
-    return
-  }
-  const snapshot = replica.store.snapshot()
-  replica.config = snapshot?.config
-  replica.configIndex = snapshot?.lastIndex ?? 0
+  const { log, snapshot } = replica.store
+  const latest = log.latestConfig()
+  replica.config = latest?.config ?? snapshot()?.config
+  replica.configIndex = latest?.index ?? snapshot()?.lastIndex ?? 0
 }
 
 /** This replica's entry in the latest configuration. */
--- a/packages/control/src/replication/settings.ts
+++ b/packages/control/src/replication/settings.ts
@@ -1,3 +1,5 @@
+import type { TrailingLimits } from '../storage/entry-buffer.js'
+
 /** Limits and timeouts of a replicated log. */
 export type ReplicationSettings = {
   /** Maximum interval between two messages from the leader to a peer. */
@@ -33,8 +35,9 @@
   /** A snapshot is taken after this many entries or bytes. */
   snapshotEntries: number
   snapshotBytes: number
-  /** Entries kept although a snapshot covers them, so that a peer that lags a little needs no snapshot. */
+  /** Maximum number and encoded size of the entries kept although a snapshot covers them, so that a peer that lags a little needs none. */
   trailingEntries: number
+  trailingBytes: number
   /** Size at which a new segment file is started. */
   segmentBytes: number
 }
@@ -64,5 +67,10 @@
   snapshotEntries: 2000,
   snapshotBytes: 16 * 1024 * 1024,
   trailingEntries: 500,
+  trailingBytes: 4 * 1024 * 1024,
   segmentBytes: 4 * 1024 * 1024
 }
+
+/** Limits of the entries kept although a snapshot covers them. */
+export const trailingLimits = ({ trailingEntries, trailingBytes }: ReplicationSettings): TrailingLimits =>
+  ({ entries: trailingEntries, bytes: trailingBytes })
--- a/packages/control/src/storage/segment-log.ts
+++ b/packages/control/src/storage/segment-log.ts
@@ -1,6 +1,7 @@
 import { join } from 'node:path'
 import { err, ok, type Result } from 'neverthrow'
 import type { LogEntry } from './entry.js'
+import { createEntryBuffer, type EntryBuffer, type TrailingLimits } from './entry-buffer.js'
 import { attempt, attemptSync, damaged, type StorageError } from './errors.js'
 import type { FileSystem, OpenFile } from './file-system.js'
 import { encodeRecord } from './record.js'
@@ -9,15 +10,7 @@
 type AsyncStorageResult = Promise<Result<void, StorageError>>
 
 /** Log entries in segment files, with a copy in memory. Writes must not run concurrently. */
-export type SegmentLog = {
-  /** Index of the first entry kept; `lastIndex() + 1` when there is none. */
-  firstIndex: () => number
-  lastIndex: () => number
-  entry: (index: number) => LogEntry | undefined
-  /** Entries from an index on, at least one and up to `maxBytes`. */
-  slice: (from: number, maxBytes: number) => LogEntry[]
-  /** Encoded size of the entries from an index on. */
-  bytesFrom: (index: number) => number
+export type SegmentLog = Pick<EntryBuffer, 'firstIndex' | 'lastIndex' | 'entry' | 'term' | 'latestConfig' | 'slice' | 'bytesFrom'> & {
   /** Encoded size of all entries kept. */
   bytes: () => number
   /** Writes the entries and syncs once. On an error none of them is kept, but see `isSettled`. */
@@ -28,8 +21,8 @@
   truncateFrom: (index: number) => AsyncStorageResult
   /** Removes all entries; the next one has `nextIndex`. */
   reset: (nextIndex: number) => AsyncStorageResult
-  /** Drops entries before `index`; files are removed once nothing in them is needed. */
-  dropBefore: (index: number) => AsyncStorageResult
+  /** Drops the entries up to `index`, which a snapshot covers, except the last ones within the limits; unneeded files are removed. */
+  dropCovered: (index: number, limits: TrailingLimits) => AsyncStorageResult
   /** Error after which all writes are refused until the next start. */
   failure: () => StorageError | undefined
   close: () => Promise<void>
@@ -37,12 +30,20 @@
 
 type Segment = { path: string, firstIndex: number, offsets: number[], size: number }
 
-/** Opens the segments of a folder; truncates a torn tail and reports damage elsewhere. */
-export async function openSegmentLog (fs: FileSystem, dir: string, segmentBytes: number): Promise<Result<SegmentLog, StorageError>> {
+/** Encoded size of the newest entries that are also held decoded, in bytes. */
+const DECODED_BYTES = 1024 * 1024
+
+/** Options of `openSegmentLog`; the latest snapshot covers the entries up to `coveredIndex`, 0 without one. */
+export type SegmentLogOptions = { segmentBytes: number, coveredIndex: number, trailing: TrailingLimits }
+
+/**
+ * Opens the segments of a folder; truncates a torn tail and reports damage elsewhere. Files are read one by one, and covered entries beyond
+ * the limits are dropped after each, so that a start does not need more memory than running.
+ */
+export async function openSegmentLog (
+  fs: FileSystem, dir: string, { segmentBytes, coveredIndex, trailing }: SegmentLogOptions): Promise<Result<SegmentLog, StorageError>> {
   const segments: Segment[] = []
-  let entries: LogEntry[] = []
-  let sizes: number[] = []
-  let baseIndex = 1
+  const entries = createEntryBuffer(DECODED_BYTES)
   let file: OpenFile | undefined
   let firstFailure: StorageError | undefined
   /** The last segment file may be longer than `size`. */
@@ -70,21 +71,30 @@
     const names = await attempt(dir, () => fs.list(dir))
     if (names.isErr()) return err(names.error)
     const found = names.value.filter((name) => name.endsWith('.seg')).sort()
+    const indexes = found.map((name) => Number.parseInt(name, 10))
     for (const [position, name] of found.entries()) {
       const path = join(dir, name)
-      const firstIndex = Number.parseInt(name, 10)
-      if (position === 0) baseIndex = firstIndex
-      if (firstIndex !== baseIndex + entries.length) return err(damaged(path, 0, `entries ${baseIndex + entries.length} to ${firstIndex - 1} are missing`))
+      const firstIndex = indexes[position]!
+      const nextIndex = indexes[position + 1]
+      if (nextIndex !== undefined && nextIndex <= coveredIndex - trailing.entries) {
+        obsolete.push(path)
+        continue
+      }
+      if (segments.length === 0) entries.reset(firstIndex)
+      const expectedIndex = entries.lastIndex() + 1
+      if (firstIndex !== expectedIndex) return err(damaged(path, 0, `entries ${expectedIndex} to ${firstIndex - 1} are missing`))
       const data = await attempt(path, () => fs.read(path))
       if (data.isErr()) return err(data.error)
-      const scanned = scanSegment(path, data.value, firstIndex, position === found.length - 1)
+      const scanned = scanSegment(path, data.value, { firstIndex, isLast: nextIndex === undefined }, (entry, record) => {
+        // A copy, so that a small entry does not keep the content of the whole file.
+        entries.push(entry, Buffer.from(record), false)
+      })
       if (scanned.isErr()) return err(scanned.error)
       const { offsets, endOffset } = scanned.value
       segments.push({ path, firstIndex, offsets, size: endOffset })
-      entries.push(...scanned.value.entries)
-      sizes.push(...offsets.map((offset, i) => (offsets[i + 1] ?? endOffset) - offset))
       if (endOffset < data.value.length) hasExcess = true
       if (endOffset === 0) discardLastSegment()
+      discardCovered(coveredIndex, trailing)
     }
     const settled = await settle()
     // Accepted entries can be served from a full disk.
@@ -159,7 +169,7 @@
     const settled = await settle()
     if (settled.isErr()) return settled
     const batchStart = added[0]!.index
-    if (batchStart !== baseIndex + entries.length) throw new Error(`entry ${batchStart} appended after entry ${baseIndex + entries.length - 1}`)
+    if (batchStart !== entries.lastIndex() + 1) throw new Error(`entry ${batchStart} appended after entry ${entries.lastIndex()}`)
     if (segments.length === 0 || segments.at(-1)!.size >= segmentBytes) {
       const rolled = await addSegment(batchStart)
       if (rolled.isErr()) return rolled
@@ -176,12 +186,11 @@
       const undone = await settle()
       return undone.isErr() ? undone : synced
     }
-    for (const record of records) {
+    for (const [i, record] of records.entries()) {
       segment.offsets.push(segment.size)
       segment.size += record.length
-      sizes.push(record.length)
+      entries.push(added[i]!, record, true)
     }
-    entries.push(...added)
     return ok()
   }
 
@@ -194,40 +203,28 @@
       segment.offsets.length = index - segment.firstIndex
       hasExcess = true
     }
-    discardInMemoryFrom(index)
+    entries.truncateFrom(index)
     return await settle()
   }
 
-  function discardInMemoryFrom (index: number) {
-    const kept = Math.max(0, index - baseIndex)
-    entries.length = Math.min(entries.length, kept)
-    sizes.length = entries.length
-  }
-
   async function reset (nextIndex: number): AsyncStorageResult {
     // The newest file is removed first, so that a crash in between leaves a contiguous log that the snapshot covers.
     const emptied = await truncateFrom(0)
     if (emptied.isErr() && emptied.error.kind !== 'full') return emptied
-    entries = []
-    sizes = []
-    baseIndex = nextIndex
+    entries.reset(nextIndex)
     return emptied
   }
 
-  async function dropBefore (index: number): AsyncStorageResult {
-    if (firstFailure !== undefined) return err(firstFailure)
-    const dropped = Math.min(Math.max(0, index - baseIndex), entries.length)
-    entries = entries.slice(dropped)
-    sizes = sizes.slice(dropped)
-    baseIndex += dropped
-    while (segments.length > 1 && segments[1]!.firstIndex <= baseIndex) obsolete.push(segments.shift()!.path)
-    return await settle()
+  /** Drops covered entries from memory, and takes the files that hold no others out of the log; `settle` removes them. */
+  function discardCovered (index: number, limits: TrailingLimits) {
+    entries.dropBefore(entries.trailingStart(Math.min(index, entries.lastIndex()), limits))
+    while (segments.length > 1 && segments[1]!.firstIndex <= entries.firstIndex()) obsolete.push(segments.shift()!.path)
   }
 
-  function slice (from: number, maxBytes: number): LogEntry[] {
-    let end = from - baseIndex
-    for (let bytes = 0; end < entries.length && (bytes === 0 || bytes + sizes[end]! <= maxBytes); end++) bytes += sizes[end]!
-    return entries.slice(from - baseIndex, end)
+  async function dropCovered (index: number, limits: TrailingLimits): AsyncStorageResult {
+    if (firstFailure !== undefined) return err(firstFailure)
+    discardCovered(index, limits)
+    return await settle()
   }
 
   const loaded = await load()
@@ -236,16 +233,18 @@
     return err(loaded.error)
   }
   return ok({
-    firstIndex: () => baseIndex,
-    lastIndex: () => baseIndex + entries.length - 1,
-    entry: (index) => entries[index - baseIndex],
-    slice,
-    bytesFrom: (index) => sizes.slice(Math.max(0, index - baseIndex)).reduce((sum, size) => sum + size, 0),
-    bytes: () => sizes.reduce((sum, size) => sum + size, 0),
+    firstIndex: entries.firstIndex,
+    lastIndex: entries.lastIndex,
+    entry: entries.entry,
+    term: entries.term,
+    latestConfig: entries.latestConfig,
+    slice: entries.slice,
+    bytesFrom: entries.bytesFrom,
+    bytes: () => entries.bytesFrom(entries.firstIndex()),
     append,
     truncateFrom,
     reset,
-    dropBefore,
+    dropCovered,
     isSettled: () => !hasExcess && obsolete.length === 0 && !isDirUnsynced,
     failure: () => firstFailure,
     close: closeFile
--- a/packages/control/src/storage/store.test.ts
+++ b/packages/control/src/storage/store.test.ts
@@ -8,7 +8,8 @@
 const config = { groupId: 'g', members: [], excluded: [] }
 const entry = (index: number, term = 1): LogEntry => ({ index, term, body: { kind: 'command', cmd: `entry ${index} of term ${term}` } })
 const range = (from: number, to: number, term = 1) => Array.from({ length: to - from + 1 }, (_, i) => entry(from + i, term))
-const open = (disk: FakeDisk, segmentBytes = 400) => openStore({ fs: disk.mount(), dir: '/data', segmentBytes, newStorageId: () => 'disk1' })
+const trailing = { entries: 500, bytes: 1_000_000 }
+const open = (disk: FakeDisk, segmentBytes = 400) => openStore({ fs: disk.mount(), dir: '/data', segmentBytes, trailing, newStorageId: () => 'disk1' })
 const openOk = async (disk: FakeDisk, segmentBytes?: number) => (await open(disk, segmentBytes))._unsafeUnwrap()
 const contentOf = ({ log }: Awaited<ReturnType<typeof openOk>>) =>
   Array.from({ length: log.lastIndex() - log.firstIndex() + 1 }, (_, i) => log.entry(log.firstIndex() + i))
@@ -28,7 +29,7 @@
   await store.log.truncateFrom(19)
   await store.log.append([entry(19, 7)])
   await store.saveSnapshot({ lastIndex: 12, lastTerm: 1, config, state: ['a'] })
-  await store.log.dropBefore(10)
+  await store.log.dropCovered(12, { ...trailing, entries: 3 })
   disk.crash()
   const reopened = await openOk(disk)
   t.deepEqual(contentOf(reopened).slice(-10), [...range(10, 18), entry(19, 7)])
@@ -48,7 +49,7 @@
     let acknowledged: LogEntry[] = []
     let pending: LogEntry[] = []
     const runOperations = async () => {
-      const store = (await openStore({ fs: disk.mount(hangAfterLastStep), dir: '/data', segmentBytes: 150 }))._unsafeUnwrap()
+      const store = (await openStore({ fs: disk.mount(hangAfterLastStep), dir: '/data', segmentBytes: 150, trailing }))._unsafeUnwrap()
       for (let term = 1; term < 20; term++) {
         const next = store.log.lastIndex() + 1
         pending = range(next, next + 2, term)
@@ -62,7 +63,7 @@
         if (term % 4 === 0) {
           const last = acknowledged.at(-2)!
           ;(await store.saveSnapshot({ lastIndex: last.index, lastTerm: last.term, config, state: null }))._unsafeUnwrap()
-          ;(await store.log.dropBefore(last.index - 2))._unsafeUnwrap()
+          ;(await store.log.dropCovered(last.index, { ...trailing, entries: 3 }))._unsafeUnwrap()
         }
       }
     }
@@ -157,7 +158,7 @@
   }
   for (const run of [
     (store: Awaited<ReturnType<typeof openOk>>) => store.log.truncateFrom(3),
-    (store: Awaited<ReturnType<typeof openOk>>) => store.log.dropBefore(18),
+    (store: Awaited<ReturnType<typeof openOk>>) => store.log.dropCovered(19, { ...trailing, entries: 2 }),
     (store: Awaited<ReturnType<typeof openOk>>) => store.log.reset(40)
   ]) {
     const operations = await operationsOf(run)
@@ -186,7 +187,7 @@
     const hangAfterLastStep = async () => { if (stepsLeft-- <= 0) await new Promise<never>(() => {}) }
     await Promise.race([moveAside(disk.mount(hangAfterLastStep), '/data'), new Promise((resolve) => { setImmediate(resolve) })])
     disk.crash()
-    const opened = await openStore({ fs: disk.mount(), dir: '/data', segmentBytes: 400, newStorageId: () => 'disk2' })
+    const opened = await openStore({ fs: disk.mount(), dir: '/data', segmentBytes: 400, trailing, newStorageId: () => 'disk2' })
     const isComplete = opened.isOk() && opened.value.log.lastIndex() === 20
     const isBlank = opened.isOk() && opened.value.hardState().storageId === 'disk2' && opened.value.log.lastIndex() === 0
     t.true(isComplete || isBlank || (opened.isErr() && opened.error.kind === 'damaged'), `after ${steps} steps`)
@@ -196,3 +197,25 @@
   for (const path of disk.paths().filter((name) => name.endsWith('.seg'))) await fs.remove(path)
   t.is((await open(disk))._unsafeUnwrapErr().kind, 'damaged')
 })
+
+// Guards against a start that needs more memory than running did: it loads a log in which all entries behind the snapshot were kept.
+test('a start loads and keeps covered entries only up to the limits', async (t) => {
+  const { disk, store } = await createFilledDisk(150)
+  ;(await store.saveSnapshot({ lastIndex: 18, lastTerm: 1, config, state: ['a'] }))._unsafeUnwrap()
+  const filesBefore = disk.paths().filter((path) => path.endsWith('.seg')).length
+  const reads: string[] = []
+  disk.fault = (operation, path) => {
+    if (operation === 'read' && path.endsWith('.seg')) reads.push(path)
+    return undefined
+  }
+  const reopened = (await openStore({ fs: disk.mount(), dir: '/data', segmentBytes: 150, trailing: { entries: 8, bytes: 200 } }))._unsafeUnwrap()
+  const kept = contentOf(reopened)
+  t.deepEqual(kept, range(kept[0]!.index, 20))
+  t.true(reopened.log.firstIndex() > 10 && reopened.log.firstIndex() <= 18, `first index ${reopened.log.firstIndex()}`)
+  t.true(reopened.log.bytesFrom(reopened.log.firstIndex()) - reopened.log.bytesFrom(19) <= 200)
+  const files = disk.paths().filter((path) => path.endsWith('.seg'))
+  t.true(files.length < filesBefore)
+  t.true(reads.length < filesBefore, 'files whose entries are all superfluous are not read')
+  disk.crash()
+  t.deepEqual(contentOf(await openOk(disk)).at(-1), entry(20))
+})
--- a/packages/control/src/storage/store.ts
+++ b/packages/control/src/storage/store.ts
@@ -3,6 +3,7 @@
 import { err, ok, type Result } from 'neverthrow'
 import { readIfPresent, replaceFile } from './durable-file.js'
 import type { LogEntry, Snapshot } from './entry.js'
+import type { TrailingLimits } from './entry-buffer.js'
 import { attempt, damaged, type StorageError } from './errors.js'
 import { HARD_STATE_FILE, type FileSystem } from './file-system.js'
 import { decodeHardState, encodeHardState, type HardState } from './hard-state.js'
@@ -31,11 +32,18 @@
 }
 
 /** Options of `openStore`; `dir` belongs to one log group of one replica. */
-export type StoreOptions = { fs: FileSystem, dir: string, segmentBytes: number, newStorageId?: () => string }
+export type StoreOptions = {
+  fs: FileSystem
+  dir: string
+  segmentBytes: number
+  /** Entries kept although the snapshot covers them. */
+  trailing: TrailingLimits
+  newStorageId?: () => string
+}
 
 /** Opens the folder of a replica, or formats it with a new storage id when it is empty. */
 export async function openStore (options: StoreOptions): Promise<Result<Store, StorageError>> {
-  const { fs, dir, segmentBytes, newStorageId = randomUUID } = options
+  const { fs, dir, segmentBytes, trailing, newStorageId = randomUUID } = options
   const created = await attempt(dir, () => fs.makeDir(dir))
   if (created.isErr()) return err(created.error)
   const names = await attempt(dir, () => fs.list(dir))
@@ -62,7 +70,7 @@
     if (decoded.isErr()) return err(decoded.error)
     initialSnapshot = decoded.value
   }
-  const opened = await openSegmentLog(fs, dir, segmentBytes)
+  const opened = await openSegmentLog(fs, dir, { segmentBytes, trailing, coveredIndex: initialSnapshot?.lastIndex ?? 0 })
   if (opened.isErr()) return err(opened.error)
   const log = opened.value
   const aligned = await alignLog(dir, log, initialSnapshot)
@@ -94,7 +102,7 @@
     return err(damaged(dir, 0, `entries ${coveredIndex + 1} to ${log.firstIndex() - 1} are missing`))
   }
   if (snapshot === undefined) return ok()
-  const continues = log.entry(coveredIndex)?.term === snapshot.lastTerm || (!isEmpty && log.firstIndex() === coveredIndex + 1)
+  const continues = log.term(coveredIndex) === snapshot.lastTerm || (!isEmpty && log.firstIndex() === coveredIndex + 1)
   return continues ? ok() : await log.reset(coveredIndex + 1)
 }
 
