Bound the deltas of routes by bytes

A control process kept 50 deltas whatever their size. When each change replaces all routes of a large list, these are 50 whole lists in the heap, and a node that lagged by 49 changes got all of them in one reply.

Change: a window of deltas limited by number and bytes (50, 1 MiB), which the lists of plans had already; both state machines now share it.

Test, failed before ('from revision 1'): the deltas kept for lagging nodes are bounded by bytes.

--- a/packages/control/src/lists/state-machine.ts
+++ b/packages/control/src/lists/state-machine.ts
@@ -3,6 +3,7 @@
 } from '@orioleslip/core'
 import type { AuditAnchor, AuditEntry } from '../audit/chain.js'
 import { createAuditWindow } from '../audit/window.js'
+import { createDeltaWindow } from '../documents/delta-window.js'
 import { editDigest, type EditCommand, type EditReply, type EditResult, type ListsCommand, type ListsReply, type ListsState } from './commands.js'
 
 /** Change that brings a node from the revision it has to the one in effect. */
@@ -25,8 +26,7 @@
  */
 export const MAX_EDIT_RESULTS = 2000
 
-const MAX_DELTAS = 300
-const MAX_DELTA_BYTES = 1024 * 1024
+const DELTA_LIMITS = { deltas: 300, bytes: 1024 * 1024 }
 
 /** Creates the state machine of the lists. `onAudit` is called with each new audit entry, also during replay. */
 export function createListsStateMachine (onAudit: (entry: AuditEntry) => void = () => {}): ListsStateMachine {
@@ -34,21 +34,13 @@
   let document = EMPTY_DOCUMENT
   let digest = listsDigest(document.lists)
   let documentBytes = sizeOf(document)
-  let deltas: Array<{ delta: ListsDelta, bytes: number }> = []
-  let deltaBytes = 0
+  const deltas = createDeltaWindow<ListsDelta>(DELTA_LIMITS)
   let results = new Map<string, EditResult>()
 
   function sizeOf (value: unknown): number {
     return Buffer.byteLength(JSON.stringify(value))
   }
 
-  function keepDelta (delta: ListsDelta): void {
-    const bytes = sizeOf(delta)
-    deltas.push({ delta, bytes })
-    deltaBytes += bytes
-    while (deltas.length > MAX_DELTAS || (deltaBytes > MAX_DELTA_BYTES && deltas.length > 0)) deltaBytes -= deltas.shift()!.bytes
-  }
-
   function rememberResult (result: EditResult): void {
     results.set(result.editId, result)
     if (results.size > MAX_EDIT_RESULTS) results.delete(results.keys().next().value!)
@@ -87,7 +79,7 @@
       document = { revision: reply.revision, lists: cmd.content.lists }
       digest = listsDigest(document.lists)
       documentBytes = sizeOf(document)
-      keepDelta({ from, to: document.revision, digest, changes })
+      deltas.add({ from, to: document.revision, digest, changes })
     }
     rememberResult({ editId: cmd.editId, digest: cmdDigest, reply })
     recordEdit(cmd, reply, changes)
@@ -96,10 +88,9 @@
 
   function since (revision: number): ListsChange {
     if (revision >= document.revision) return { kind: 'unchanged', revision: document.revision }
-    const missing = deltas.filter(({ delta }) => delta.from >= revision)
-    const bytes = missing.reduce((sum, entry) => sum + entry.bytes, 0)
-    if (missing[0]?.delta.from !== revision || bytes > documentBytes) return { kind: 'full', document }
-    return { kind: 'deltas', deltas: missing.map(({ delta }) => delta) }
+    const missing = deltas.after(revision)
+    if (missing === undefined || missing.bytes > documentBytes) return { kind: 'full', document }
+    return { kind: 'deltas', deltas: missing.deltas }
   }
 
   return {
@@ -108,14 +99,13 @@
       onAudit(audit.append(cmd.entry))
       return { kind: 'recorded' }
     },
-    snapshot: () => ({ document, deltas: deltas.map(({ delta }) => delta), results: [...results.values()], audit: audit.snapshot() }),
+    snapshot: () => ({ document, deltas: deltas.all(), results: [...results.values()], audit: audit.snapshot() }),
     restore: (state) => {
       document = state.document
       digest = listsDigest(document.lists)
       documentBytes = sizeOf(document)
-      deltas = []
-      deltaBytes = 0
-      for (const delta of state.deltas) keepDelta(delta)
+      deltas.clear()
+      for (const delta of state.deltas) deltas.add(delta)
       results = new Map(state.results.map((result) => [result.editId, result]))
       audit.restore(state.audit)
       // The archive ignores the entries that it already has.
--- a/packages/control/src/routes/state-machine.test.ts
+++ b/packages/control/src/routes/state-machine.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
 import type { RouteList } from '@orioleslip/core'
 import type { RoutesCommand } from './commands.js'
-import { createRoutesStateMachine } from './state-machine.js'
+import { createRoutesStateMachine, DELTA_LIMITS } from './state-machine.js'
 
 const listOf = (mark: string): RouteList => ({
   limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }, services: [], routes: [], source: { mark }
@@ -58,3 +58,31 @@
   restored.restore(JSON.parse(JSON.stringify(machine.snapshot())))
   t.is(restored.since(3).kind, 'full')
 })
+
+// Guards against a control process that runs out of memory as it keeps a number of changes, each of which replaces every route of a large
+// list, and against replies to lagging nodes that are many times as large as the list.
+test('the deltas kept for lagging nodes are bounded by bytes', (t) => {
+  const machine = createRoutesStateMachine()
+  const largeList = (version: number): RouteList => ({
+    ...listOf('large'),
+    services: [{ name: 's' }],
+    routes: Array.from({ length: 1000 }, (_, i) => ({
+      name: `route-${i}`,
+      host: 'a.example',
+      prefix: `/path/${i}/`,
+      repeat: 'safe',
+      rank: 1,
+      timeoutMs: version,
+      targetLatencyMs: 1200,
+      maxAttempts: 2,
+      destinations: [{ service: 's', weight: 1 }]
+    }))
+  })
+  for (let version = 1; version <= 40; version++) machine.apply(version, { kind: 'replace', baseRevision: version - 1, revision: version, list: largeList(version) })
+  for (let known = 1; known < 40; known++) {
+    const change = machine.since(known)
+    if (change.kind === 'deltas') t.true(JSON.stringify(change.deltas).length <= DELTA_LIMITS.bytes + 100, `from revision ${known}`)
+  }
+  t.is(machine.since(1).kind, 'full')
+  t.is(machine.since(39).kind, 'deltas')
+})
--- a/packages/control/src/routes/state-machine.ts
+++ b/packages/control/src/routes/state-machine.ts
@@ -1,4 +1,5 @@
 import { diffRoutes, type DocumentChange, type RouteList, type RoutesDelta, type RoutesDocument, type StateMachine } from '@orioleslip/core'
+import { createDeltaWindow } from '../documents/delta-window.js'
 import { replacementDigest, type AcceptedReplacement, type RoutesCommand, type RoutesReply, type RoutesState } from './commands.js'
 
 /** Change that brings a node from the revision it has to the one in effect. */
@@ -15,26 +16,27 @@
 /** Number of accepted replacements kept for resends; about a week at the design figure of 570 changes a day. */
 export const MAX_ACCEPTED_REPLACEMENTS = 4000
 
-/** Number of deltas kept for lagging nodes; a node that lags by more gets the whole document. */
-export const MAX_DELTAS = 50
+/** Deltas kept for lagging nodes; a node that lags by more gets the whole document. */
+export const DELTA_LIMITS = { deltas: 50, bytes: 1024 * 1024 }
 
 /** Creates the state machine of the routes. */
 export function createRoutesStateMachine (): RoutesStateMachine {
   let document: RoutesDocument | undefined
   let accepted: AcceptedReplacement[] = []
-  let deltas: RoutesDelta[] = []
+  const deltas = createDeltaWindow<RoutesDelta>(DELTA_LIMITS)
   const revision = () => document?.revision ?? 0
 
   const keepDelta = (before: RoutesDocument | undefined, after: RoutesDocument) => {
     const delta = before === undefined ? undefined : diffRoutes(before, after)
-    deltas = delta === undefined ? [] : [...deltas.slice(1 - MAX_DELTAS), delta]
+    if (delta === undefined) deltas.clear()
+    else deltas.add(delta)
   }
 
   const since = (known: number): RoutesChange => {
     // A node without a document reports revision -1 and waits for the first document.
     if (document === undefined || known >= document.revision) return { kind: 'unchanged', revision: document?.revision ?? -1 }
-    const missing = deltas.filter((delta) => delta.from >= known)
-    if (missing[0]?.from === known) return { kind: 'deltas', deltas: missing }
+    const missing = deltas.after(known)
+    if (missing !== undefined) return { kind: 'deltas', deltas: missing.deltas }
     return { kind: 'full', document: { revision: document.revision, list: withoutSource(document.list) } }
   }
 
@@ -54,7 +56,7 @@
     snapshot: () => ({ document: document ?? null, accepted: [...accepted] }),
     restore: (state) => {
       document = state.document ?? undefined
-      deltas = []
+      deltas.clear()
       accepted = [...state.accepted]
     },
     revision,
