--- a/packages/control/src/api/operator-service.ts
+++ b/packages/control/src/api/operator-service.ts
@@ -8,7 +8,7 @@
 import type { ConfirmCurrent } from './shared-confirm.js'
 
 /** Reply to an edit. Only `outcomeUnknown` leaves open whether the edit is accepted; a resend with the same edit id returns the outcome. */
-export type EditCallReply = EditReply | ProposeError
+export type EditCallReply = EditReply | Exclude<ProposeError, { kind: 'tooLarge' }>
 
 /** Lists as replicated on this control VM; `confirmed` is false when a later revision may be in effect. */
 export type GetReply = { document: ListsDocument, digest: string, confirmed: boolean, reason?: string }
@@ -53,7 +53,7 @@
       const { editId, baseRevision } = input
       const content = checkLists(input.lists)
       const res = await lists.propose({ kind: 'edit', editId, operator, vmId, wallMs: clock.wallMs(), baseRevision, content })
-      const answer = res.match((reply) => reply, (problem) => problem)
+      const answer = res.match((reply) => reply, (problem) => problem.kind === 'tooLarge' ? { kind: 'invalid' as const, problems: [problem.message] } : problem)
       log.info({ editId, operator, baseRevision, answer }, 'Processed an edit of the lists')
       if (answer.kind === 'recorded') throw new Error(`the lists log replied to edit ${editId} with the reply to another command`)
       return answer
--- a/packages/control/src/replication/apply.ts
+++ b/packages/control/src/replication/apply.ts
@@ -31,6 +31,14 @@
     if (body.kind === 'command') for (const listener of replica.listeners) listener(index)
   }
   replica.stateChanged.notify()
+  startDueSnapshot(replica)
+}
+
+/** Encoded size of the log entries that no snapshot covers. */
+export const uncoveredLogBytes = ({ store }: Replica): number => store.log.bytesFrom((store.snapshot()?.lastIndex ?? 0) + 1)
+
+/** Starts a snapshot if enough was applied since the last one and none is being written. */
+export function startDueSnapshot (replica: Replica) {
   if (!isSnapshotDue(replica)) return
   replica.savingSnapshot = takeSnapshot(replica).finally(() => { replica.savingSnapshot = undefined })
   startTask(replica, replica.savingSnapshot)
@@ -41,7 +49,7 @@
   const snapshotIndex = store.snapshot()?.lastIndex ?? 0
   if (replica.savingSnapshot !== undefined || lastApplied <= snapshotIndex || replica.clock.nowMs() < replica.pausedUntilMs) return false
   if (lastApplied - snapshotIndex >= settings.snapshotEntries) return true
-  return store.log.bytesFrom(snapshotIndex + 1) >= settings.snapshotBytes
+  return uncoveredLogBytes(replica) >= settings.snapshotBytes
 }
 
 /** Writes a snapshot of the applied state and drops the entries that it covers, except the last ones within the limits. */
--- a/packages/control/src/replication/leader.ts
+++ b/packages/control/src/replication/leader.ts
@@ -6,8 +6,9 @@
 import { createNotifier } from './synchronization.js'
 import { proposeEntry } from './proposals.js'
 import { runHeartbeat, runReplicator } from './replicator.js'
-import { handleStorageError, refreshConfiguration, termAt, type Leadership, type Replica } from './replica.js'
+import { handleStorageError, refreshConfiguration, termAt, type Leadership, type Proposal, type Replica } from './replica.js'
 import { quorumSilenceMs, reachedByMembers, stepDown } from './roles.js'
+import type { ReplicationSettings } from './settings.js'
 import { startTask } from './tasks.js'
 
 /** Starts the leadership of this replica in the current term. */
@@ -20,6 +21,7 @@
     writingSinceMs: Infinity,
     progress: new Map(),
     queuedProposals: [],
+    queuedBytes: 0,
     awaitingCommit: new Map(),
     joins: new Map(),
     proposalQueued: createNotifier(clock),
@@ -64,7 +66,7 @@
 async function writeBatch (replica: Replica, leadership: Leadership) {
   if (leadership.ended) return
   const { store, settings } = replica
-  const batch = leadership.queuedProposals.splice(0, settings.batchEntries).filter(({ cancelled }) => !cancelled)
+  const batch = takeBatch(leadership, settings)
   if (batch.length === 0) return
   const firstIndex = store.log.lastIndex() + 1
   const entries = batch.map<LogEntry>(({ body }, i) => ({ index: firstIndex + i, term: leadership.term, body }))
@@ -95,6 +97,21 @@
   advanceCommit(replica, leadership)
 }
 
+/** Takes the oldest queued proposals within the limits of one write, at least one; cancelled ones are left out. */
+function takeBatch (leadership: Leadership, { batchEntries, batchBytes }: ReplicationSettings): Proposal[] {
+  const { queuedProposals } = leadership
+  let count = 0
+  let batchedBytes = 0
+  while (count < Math.min(queuedProposals.length, batchEntries)) {
+    const { bytes } = queuedProposals[count]!
+    if (count > 0 && batchedBytes + bytes > batchBytes) break
+    batchedBytes += bytes
+    count++
+  }
+  leadership.queuedBytes -= batchedBytes
+  return queuedProposals.splice(0, count).filter(({ cancelled }) => !cancelled)
+}
+
 /** Commits the entries that a quorum has on disk. Entries of earlier terms are only committed together with one of this term. */
 export function advanceCommit (replica: Replica, leadership: Leadership) {
   if (leadership.ended) return
--- a/packages/control/src/replication/log-size.test.ts
+++ b/packages/control/src/replication/log-size.test.ts
@@ -33,3 +33,50 @@
   for (const { machine } of cluster.vms) t.deepEqual(machine.applied, commands)
   t.deepEqual(cluster.violations, [])
 })
+
+// Guards against a leader whose log grows without limit while its snapshots can't be written.
+test('commands are refused while the log is full because snapshots fail, and accepted again afterwards', async (t) => {
+  const logBytes = 3 * SNAPSHOT_BYTES
+  const cluster = createCluster(1, 32, { snapshotBytes: SNAPSHOT_BYTES, trailingBytes: TRAILING_BYTES, logBytes })
+  const leader = await cluster.boot()
+  leader.disk.fault = (operation, path) => operation === 'rename' && path.includes('.snap') ? 'EIO' : undefined
+  const accepted: string[] = []
+  for (let i = 0; i < 60; i++) {
+    const cmd = commandOf(i)
+    const res = await cluster.propose(leader.vmId, cmd)
+    if (res.isOk()) accepted.push(cmd)
+    else t.regex(res.error.message, /no snapshot covers, the limit is 60000; check the disk/)
+    t.true(leader.log!.status().logBytes <= logBytes + 2 * COMMAND_BYTES)
+  }
+  t.true(accepted.length < 60)
+  leader.disk.fault = undefined
+  await cluster.propose(leader.vmId, 'starts a snapshot')
+  await cluster.advance(100)
+  t.true((await cluster.propose(leader.vmId, 'after')).isOk())
+  t.deepEqual(leader.machine.applied.slice(0, accepted.length), accepted)
+})
+
+// Guards against a leader that runs out of memory because many large proposals wait, limited by their number only.
+test('proposals that wait are bounded by bytes', async (t) => {
+  const cluster = createCluster(1, 33, { queueBytes: 10 * COMMAND_BYTES, batchBytes: 2 * COMMAND_BYTES })
+  const leader = await cluster.boot()
+  const results = await cluster.waitFor(Promise.all(Array.from({ length: 40 }, (_, i) => leader.log!.propose(commandOf(i)))))
+  const refused = results.filter((res) => res.isErr())
+  t.true(refused.length >= 28 && refused.length < 40, `${refused.length} were refused`)
+  for (const res of refused) t.like(res._unsafeUnwrapErr(), { kind: 'refused' })
+  t.is(leader.machine.applied.length, 40 - refused.length)
+})
+
+// Guards against a command that each replica accepts and none can send on or apply: as JSON or in the heap it is far larger than encoded.
+test('a command that is too large in any form is refused before it is written', async (t) => {
+  const cluster = createCluster(1, 34, { commandBytes: 200_000, commandHeapBytes: 400_000, commandJsonBytes: 300_000 })
+  const leader = await cluster.boot()
+  const propose = async (cmd: unknown) => {
+    const res = await cluster.propose(leader.vmId, cmd as string)
+    return res.isOk() ? 'accepted' : `${res.error.kind}: ${res.error.message}`
+  }
+  t.regex(await propose('x'.repeat(200_001)), /tooLarge: .* bytes, the limit is 200000/)
+  t.regex(await propose('\u0001'.repeat(100_000)), /tooLarge: .* as JSON, the limit is 300000/)
+  t.regex(await propose(Array.from({ length: 20_000 }, () => [])), /tooLarge: .* of memory, the limit is 400000/)
+  t.is(await propose('x'.repeat(190_000)), 'accepted')
+})
--- a/packages/control/src/replication/proposals.ts
+++ b/packages/control/src/replication/proposals.ts
@@ -1,9 +1,10 @@
 import { randomUUID } from 'node:crypto'
-import { isNestedDeeperThan, MAX_NESTING, type ProposeError } from '@orioleslip/core'
+import { estimateHeapBytes, isNestedDeeperThan, MAX_NESTING, type ProposeError } from '@orioleslip/core'
 import { err, ok, type Result } from 'neverthrow'
 import { pack, unpack } from '../storage/record.js'
 import type { LogEntry } from '../storage/entry.js'
 import type { ForwardReply, ForwardRequest } from './messages.js'
+import { startDueSnapshot, uncoveredLogBytes } from './apply.js'
 import { withTimeout } from './synchronization.js'
 import { failureOf, sendRequest, type Proposal, type Replica } from './replica.js'
 import { leaseMs } from './roles.js'
@@ -11,6 +12,9 @@
 // More forwarded proposals than a leader receives while a copy of a message is in transit.
 const MAX_FORWARD_REPLIES = 20_000
 
+/** Most bytes of heap or of JSON text for one encoded byte: an empty array with its place in another one takes 56 bytes of heap. */
+const MAX_EXPANSION = 56
+
 type ProposeResult = Result<unknown, ProposeError>
 
 /** Proposes a command on this replica when it leads, otherwise through the leader that it follows. */
@@ -21,35 +25,53 @@
     return err({ kind: 'refused', message: `the command has more than ${MAX_NESTING} levels of arrays and objects; flatten it` })
   }
   const packed = pack(cmd)
-  const { commandBytes } = replica.settings
-  if (packed.length > commandBytes) {
-    return err({ kind: 'refused', message: `the command has ${packed.length} bytes, the limit is ${commandBytes}; split it` })
-  }
+  const excess = excessOf(replica, cmd, packed.length)
+  if (excess !== undefined) return err({ kind: 'tooLarge', message: excess })
   // A copy in the form that a replay of the log yields, which later changes of the caller's object don't affect.
-  if (replica.role === 'leader') return await proposeEntry(replica, { kind: 'command', cmd: unpack(packed) })
+  if (replica.role === 'leader') return await proposeEntry(replica, { kind: 'command', cmd: unpack(packed) }, packed.length)
   return await forward(replica, cmd)
 }
 
+/** Names the limit that a command exceeds: of the log, of the heap of a replica that applies it, or of a message to a peer. */
+function excessOf ({ settings }: Replica, cmd: unknown, packedBytes: number): string | undefined {
+  const { commandBytes, commandHeapBytes, commandJsonBytes } = settings
+  if (packedBytes > commandBytes) return `the command has ${packedBytes} bytes, the limit is ${commandBytes}; make it smaller`
+  // Neither the heap size nor the JSON text of a value is this many times its encoded size.
+  if (packedBytes * MAX_EXPANSION <= Math.min(commandHeapBytes, commandJsonBytes)) return undefined
+  const heapBytes = estimateHeapBytes(cmd)
+  if (heapBytes > commandHeapBytes) return `the command takes ${heapBytes} bytes of memory, the limit is ${commandHeapBytes}; use fewer values`
+  const jsonBytes = Buffer.byteLength(JSON.stringify(cmd))
+  if (jsonBytes > commandJsonBytes) return `the command has ${jsonBytes} bytes as JSON, the limit is ${commandJsonBytes}; make it smaller`
+  return undefined
+}
+
 function refusalOf (replica: Replica): string | undefined {
   if (replica.closed) return 'the control process is stopping; use another control VM'
   return replica.role === 'leader' ? undefined : replica.fault
 }
 
-/** Queues an entry on the leader and waits until it is applied. */
-export async function proposeEntry (replica: Replica, body: LogEntry['body']): Promise<ProposeResult> {
+/** Queues an entry of `bytes` on the leader and waits until it is applied. */
+export async function proposeEntry (replica: Replica, body: LogEntry['body'], bytes = 0): Promise<ProposeResult> {
   const { leadership, settings, clock } = replica
   if (leadership === undefined) return err(notLeader(replica, 'this replica does not lead'))
   const failure = failureOf(replica)
   if (failure !== undefined) return err({ kind: 'refused', message: failure })
   const isNew = clock.nowMs() - leadership.startedMs < settings.leaseMs
   if (!isNew && leaseMs(replica) === 0) return err(notLeader(replica, 'the leader has no contact with a quorum'))
-  if (leadership.queuedProposals.length >= settings.queueEntries) {
-    return err({ kind: 'refused', message: `${settings.queueEntries} proposals wait for the disk; try again later` })
+  const uncoveredBytes = uncoveredLogBytes(replica)
+  if (body.kind === 'command' && uncoveredBytes > settings.logBytes) {
+    startDueSnapshot(replica)
+    return err({ kind: 'refused', message: `the log has ${uncoveredBytes} bytes that no snapshot covers, the limit is ${settings.logBytes}; check the disk` })
+  }
+  const { queuedProposals, queuedBytes } = leadership
+  if (queuedProposals.length >= settings.queueEntries || (queuedBytes > 0 && queuedBytes + bytes > settings.queueBytes)) {
+    return err({ kind: 'refused', message: `${queuedProposals.length} proposals of ${queuedBytes} bytes wait for the disk; try again later` })
   }
   let proposal: Proposal | undefined
   const done = new Promise<ProposeResult>((resolve) => {
-    proposal = { body, cancelled: false, resolve }
-    leadership.queuedProposals.push(proposal)
+    proposal = { body, bytes, cancelled: false, resolve }
+    queuedProposals.push(proposal)
+    leadership.queuedBytes += bytes
     leadership.proposalQueued.notify()
   })
   const res = await withTimeout(clock, settings.proposeTimeoutMs, done)
@@ -106,5 +128,6 @@
   const res = await propose(replica, cmd)
   return res.match<ForwardReply>(
     (reply) => ({ kind: 'forward', status: 'ok', reply }),
-    ({ kind, message }) => ({ kind: 'forward', status: kind, message }))
+    // The sender has checked the size before; only with other limits does it learn of it here.
+    ({ kind, message }) => ({ kind: 'forward', status: kind === 'tooLarge' ? 'refused' : kind, message }))
 }
--- a/packages/control/src/replication/replica.ts
+++ b/packages/control/src/replication/replica.ts
@@ -23,6 +23,8 @@
 /** An entry that waits to be written by the leader, and the caller that waits for its result. */
 export type Proposal = {
   body: LogEntry['body']
+  /** Encoded size of the command. */
+  bytes: number
   /** The caller has given up; the entry must not be written any more. */
   cancelled: boolean
   resolve: (res: Result<unknown, ProposeError>) => void
@@ -53,6 +55,8 @@
   writingSinceMs: number
   progress: Map<string, Progress>
   queuedProposals: Proposal[]
+  /** Encoded size of these proposals. */
+  queuedBytes: number
   /** Proposals whose entries are written but not yet applied, by index. */
   awaitingCommit: Map<number, Proposal>
   /** Verified storage ids of the VMs that requested to join, by VM id. */
--- a/packages/control/src/replication/settings.ts
+++ b/packages/control/src/replication/settings.ts
@@ -23,18 +23,24 @@
   repairWaitMs: number
   /** Time during which a replica starts no elections and takes no snapshots after its disk was full. */
   fullDiskPauseMs: number
-  /** Maximum bytes of entries in one message. */
+  /** Maximum bytes of entries in one message or one write. */
   batchBytes: number
-  /** Maximum number of proposals in one write, and of proposals that wait for a write. */
+  /** Maximum number of proposals in one write. */
   batchEntries: number
+  /** Maximum number and encoded size of the proposals that wait for a write. */
   queueEntries: number
-  /** Maximum encoded size of a command. */
+  queueBytes: number
+  /** Maximum size of a command: encoded, decoded in the heap, and as the JSON of a message. */
   commandBytes: number
+  commandHeapBytes: number
+  commandJsonBytes: number
   /** Size of the chunks in which a snapshot is sent to a peer. */
   chunkBytes: number
   /** A snapshot is taken after this many entries or bytes. */
   snapshotEntries: number
   snapshotBytes: number
+  /** Size of the entries that no snapshot covers above which commands are refused, because snapshots fail or nothing is committed. */
+  logBytes: number
   /** Maximum number and encoded size of the entries kept although a snapshot covers them, so that a peer that lags a little needs none. */
   trailingEntries: number
   trailingBytes: number
@@ -62,10 +68,15 @@
   batchBytes: 1024 * 1024,
   batchEntries: 512,
   queueEntries: 8192,
+  queueBytes: 8 * 1024 * 1024,
   commandBytes: 4 * 1024 * 1024,
+  commandHeapBytes: 16 * 1024 * 1024,
+  // Leaves room for the rest of a message below the limit of the control API.
+  commandJsonBytes: 6 * 1024 * 1024,
   chunkBytes: 256 * 1024,
   snapshotEntries: 2000,
   snapshotBytes: 16 * 1024 * 1024,
+  logBytes: 64 * 1024 * 1024,
   trailingEntries: 500,
   trailingBytes: 4 * 1024 * 1024,
   segmentBytes: 4 * 1024 * 1024
--- a/packages/control/src/routes/routes-service.ts
+++ b/packages/control/src/routes/routes-service.ts
@@ -7,6 +7,8 @@
 /** Result of a replacement of the routes. */
 export type ReplaceReply =
   | RoutesReply
+  /** The replacement exceeds a limit of the log, which `message` names; nothing was changed. */
+  | { kind: 'tooLarge', message: string }
   /** Nothing was changed; the replacement can be sent to another control VM, or again later. */
   | { kind: 'unavailable', message: string }
   /** The replacement may be in effect or take effect later; a resend returns the outcome. */
@@ -45,9 +47,13 @@
     const voters = routes.status().members.filter((member) => member.voter).length
     if (voters < minVoters) return { kind: 'unavailable', message: `the routes log group has ${voters} voters and needs ${minVoters}; wait until the other control VMs have joined` }
     const res = await routes.propose({ kind: 'replace', baseRevision, revision, list })
-    return res.match<ReplaceReply>((reply) => reply, (problem) => problem.kind === 'outcomeUnknown'
-      ? { kind: 'unknown', message: problem.message }
-      : { kind: 'unavailable', message: problem.message })
+    return res.match<ReplaceReply>((reply) => reply, ({ kind, message }) => {
+      switch (kind) {
+        case 'tooLarge': return { kind, message }
+        case 'outcomeUnknown': return { kind: 'unknown', message }
+        case 'notLeader': case 'refused': return { kind: 'unavailable', message }
+      }
+    })
   }
 
   return {
--- a/packages/core/src/interfaces/replication.ts
+++ b/packages/core/src/interfaces/replication.ts
@@ -13,7 +13,9 @@
   | { kind: 'notLeader', leader?: string, message: string }
   /** The command was appended but the quorum did not acknowledge it in time; it may still be applied. */
   | { kind: 'outcomeUnknown', message: string }
-  /** The command was refused before it was appended (storage failed, too large, stopping). */
+  /** The command exceeds a limit and would be refused by every replica at any time. */
+  | { kind: 'tooLarge', message: string }
+  /** The command was refused before it was appended (storage failed, too many wait, stopping). */
   | { kind: 'refused', message: string }
 
 export type NotCurrent = { kind: 'notCurrent', leader?: string, message: string }
