--- a/packages/control/src/replication/open-replica.ts
+++ b/packages/control/src/replication/open-replica.ts
@@ -29,7 +29,11 @@
 export async function openReplicaStore (options: OpenOptions): Promise<Result<Store, StorageError>> {
   const { fileSystem: fs, dir, settings, logger, group, newStorageId } = options
   const storeOptions = {
-    fs, dir, segmentBytes: settings.segmentBytes, trailing: trailingLimits(settings), ...(newStorageId === undefined ? {} : { newStorageId })
+    fs,
+    dir,
+    segmentBytes: settings.segmentBytes,
+    trailing: trailingLimits(settings),
+    ...(newStorageId === undefined ? {} : { newStorageId })
   }
   const opened = await openStore(storeOptions)
   if (opened.isOk() || opened.error.kind !== 'damaged') return opened
--- a/packages/control/src/storage/segment-scan.ts
+++ b/packages/control/src/storage/segment-scan.ts
@@ -19,8 +19,8 @@
 export const segmentName = (firstIndex: number) => `${String(firstIndex).padStart(16, '0')}.seg`
 
 /**
- * Decodes a segment and passes its entries to `visit`, one at a time. Only the last segment may end in a torn batch; anything else that does not decode is damage.
- * Damage to the last batch can't be distinguished from a torn batch.
+ * Decodes a segment and passes its entries to `visit`, one at a time. Only the last segment may end in a torn batch; anything else that
+ * does not decode is damage. Damage to the last batch can't be distinguished from a torn batch.
  */
 export function scanSegment (
   file: string, data: Buffer, { firstIndex, isLast }: SegmentPosition, visit: EntryVisitor): Result<SegmentExtent, StorageError> {
