Hold a response without a length until it is whole

Cause: such a response was passed on as it came. When the node where the request entered is killed, the kernel ends its connections in order.

Change: a response that would end with the caller's connection is held until its end has arrived, up to 4 MiB each and 32 MiB together, and is then written at once; a longer one streams as before. A chunked response to a caller of HTTP/1.0 is held in the same way and gets its length.

--- a/packages/node/src/calls/response-writer.ts
+++ b/packages/node/src/calls/response-writer.ts
@@ -1,8 +1,9 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { HEADERS, REFUSALS, toProblem, type Refusal } from '@orioleslip/core'
+import { headerValue, HEADERS, REFUSALS, toProblem, type Refusal } from '@orioleslip/core'
 import type { ByteQueue } from '../links/byte-queue.js'
 import type { ResponseHead } from '../links/messages.js'
 import type { CallFinish } from '../links/outgoing-call.js'
+import { createHeldBody } from './held-body.js'
 import { BUFFERED_BODY_LIMIT_BYTES } from './request-body.js'
 
 /** Longest time for which the rest of a refused request's body is read and discarded, in ms. */
@@ -41,43 +42,63 @@
 
 /**
  * Forwards a target's response to the caller. If the response is cut off, the caller's connection is destroyed, so that the part already
- * sent can't pass for a complete response. A response without framing is forwarded without framing, since a terminating chunk would mark
- * it as complete.
+ * sent can't pass for a complete response. A response that ends with the caller's connection is held until it is whole: the kernel ends the
+ * connections of a process that is killed in order, so that the part already sent would look complete.
  */
 export async function writeResponse (
   res: ServerResponse, head: ResponseHead, body: ByteQueue, finish: Promise<CallFinish>, extraHeaders: string[]
 ): Promise<CallFinish> {
+  // Framing would mark a response without framing as complete, although a crash of the target may have cut it off.
   if (head.unframed === true) {
     res.useChunkedEncodingByDefault = false
     res.shouldKeepAlive = false
   }
-  res.writeHead(head.status, extraHeaders.length === 0 ? head.headers : [...head.headers, ...extraHeaders])
-  const whole = body.takeRest()
-  if (whole !== undefined) {
-    const end = await finish
-    if (end.kind === 'complete') res.end(whole)
-    else abortResponse(res, head)
-    return end
-  }
+  const headers = extraHeaders.length === 0 ? head.headers : [...head.headers, ...extraHeaders]
+  const endsWithConnection = hasNoFraming(res, head)
+  const held = endsWithConnection ? createHeldBody() : undefined
   try {
-    for (;;) {
-      const chunk = await body.read()
-      if (chunk === undefined) break
-      if (!res.write(chunk)) await waitForDrain(res)
+    const whole = body.takeRest() ?? await held?.readWhole(body)
+    if (whole === undefined) {
+      res.writeHead(head.status, headers)
+      for (const chunk of held?.chunks() ?? []) res.write(chunk)
+      await pipeBody(res, body)
     }
+    const end = await finish
+    if (end.kind !== 'complete') {
+      abortResponse(res, endsWithConnection)
+    } else if (whole === undefined) {
+      res.end()
+    } else {
+      const hasKnownEnd = endsWithConnection && head.unframed !== true
+      res.writeHead(head.status, hasKnownEnd ? [...headers, 'content-length', String(whole.length)] : headers)
+      res.end(whole)
+    }
+    return end
   } catch {
-    abortResponse(res, head)
+    abortResponse(res, endsWithConnection)
     return finish
+  } finally {
+    held?.release()
   }
-  const end = await finish
-  if (end.kind === 'complete') res.end()
-  else abortResponse(res, head)
-  return end
 }
 
-/** Aborts a response. An unframed response ends with its connection, so only a TCP reset shows the caller that it is incomplete. */
-function abortResponse (res: ServerResponse, head: ResponseHead): void {
-  if (head.unframed === true) res.socket?.resetAndDestroy()
+async function pipeBody (res: ServerResponse, body: ByteQueue): Promise<void> {
+  for (;;) {
+    const chunk = await body.read()
+    if (chunk === undefined) return
+    if (!res.write(chunk)) await waitForDrain(res)
+  }
+}
+
+/** True if the response has neither a length nor chunks, for example because its caller speaks HTTP/1.0. */
+function hasNoFraming (res: ServerResponse, { status, headers }: ResponseHead): boolean {
+  const hasBody = res.req.method !== 'HEAD' && status !== 204 && status !== 304
+  return hasBody && !res.useChunkedEncodingByDefault && headerValue(headers, 'content-length') === undefined
+}
+
+/** Aborts a response. Where it would end with its connection, only a TCP reset shows the caller that it is incomplete. */
+function abortResponse (res: ServerResponse, endsWithConnection: boolean): void {
+  if (endsWithConnection) res.socket?.resetAndDestroy()
   res.destroy()
 }
 
