Recognise a reset that arrives with the last bytes of a response

Cause: when the reset is there before the bytes are read, Node.js reports the end of the connection, not an error. Change: at the end of a connection the address of its peer is undefined if it was reset, which a listener checks before undici's own.

--- a/packages/node/src/target/faulty-target.test.ts
+++ b/packages/node/src/target/faulty-target.test.ts
@@ -97,3 +97,17 @@
     })
   }
 }
+
+// Guards against a cut response that passes for a whole one: the reset arrives together with the bytes before it, and Node.js reports the
+// end of the connection in place of the reset.
+test('a response without a length that is reset right behind its bytes is cut, one whose connection ends in order is whole', async (t) => {
+  const isReset = (id: string) => Number(id) % 2 === 0
+  const { call } = await startFaultyTarget(t, (socket, id) => {
+    socket.write(`HTTP/1.1 200 OK\r\n${idHeader(id)}Connection: close\r\n\r\npart or whole`)
+    if (isReset(id)) setImmediate(() => socket.resetAndDestroy())
+    else socket.end()
+  })
+  const ids = Array.from({ length: 60 }, (_, i) => String(i))
+  const results = await Promise.all(ids.map(call))
+  t.deepEqual(ids.filter((id, i) => (results[i]!.kind === 'complete') === isReset(id)), [])
+})
--- a/packages/node/src/target/target-client.ts
+++ b/packages/node/src/target/target-client.ts
@@ -93,17 +93,20 @@
 
 /**
  * Detects whether a connection is being reset. undici treats a reset as the end of a response without framing, although that response is
- * incomplete. The flag is set by a listener that runs before undici's own and is cleared after the event has been handled.
+ * incomplete. The flag is set by listeners that run before undici's own and is cleared after the event has been handled.
  */
 function trackResets () {
   const connector = buildConnector({ timeout: CONNECT_TIMEOUT_MS })
   let inProgress = false
-  const onError = () => {
+  const onReset = () => {
     inProgress = true
     process.nextTick(() => { inProgress = false })
   }
   const connect: buildConnector.connector = (opts, callback) => connector(opts, (...result) => {
-    result[1]?.prependListener('error', onError)
+    const [, socket] = result
+    socket?.prependListener('error', onReset)
+    // Node.js reports the end of a connection whose reset arrives with the last bytes; such a connection has no peer any more.
+    socket?.prependListener('end', () => { if (socket.remoteAddress === undefined) onReset() })
     callback(...result)
   })
   return { connect, inProgress: () => inProgress }
