Check the service of the target again before a queued call is sent

Cause: the service was checked when the call arrived, not when it left the queue in front of the target; a new server had got the address meanwhile. Change: the same check before the call is sent; it is refused as not run.

--- a/packages/node/src/calls/executor.test.ts
+++ b/packages/node/src/calls/executor.test.ts
@@ -57,7 +57,7 @@
     ...(crashes === undefined ? {} : { crashes }),
     onRefused: (call, refusal, report) => refused.push({ requestId: call.head.root.requestId, refusal, report })
   })
-  const announce = (instance: string) => { announcement = { service: 'shop', instance } }
+  const announce = (instance: string, service = 'shop') => { announcement = { service, instance } }
   return { clock, gate, refused, executor, announce, leavingNotices: () => leavingNotices }
 }
 
@@ -118,6 +118,41 @@
   t.regex(refused[0]!.refusal.detail, /no response after 397 ms/)
 })
 
+/** Starts a call that takes the only slot and one that waits for it; `release` ends the first and resolves when both have ended. */
+async function queueBehindRunningCall (callRefusal?: Refusal) {
+  const ran: string[] = []
+  let respond = () => {}
+  const fixture = createFixture({
+    run: ({ path }) => new Promise((resolve) => {
+      ran.push(path)
+      const body = { read: () => Promise.resolve(undefined), takeRest: () => new Uint8Array(0) }
+      respond = () => resolve({ kind: 'head', status: 200, headers: [], unframed: false, body, abort: () => {} })
+    }),
+    callRefusal
+  })
+  for (const path of ['/first', '/second']) {
+    fixture.executor.execute(createIncomingCall(createHead({ path }), () => {}, () => {}))
+    await fixture.clock.advance(0)
+  }
+  const release = async () => {
+    respond()
+    await fixture.clock.advance(0)
+    respond()
+    await fixture.clock.advance(0)
+  }
+  return { ...fixture, ran, release }
+}
+
+// Guards against a request that is run by a server of another service, which got the address while the request waited.
+test('a call that waited is not sent to a target of another service', async (t) => {
+  const { announce, gate, refused, ran, release } = await queueBehindRunningCall()
+  announce('i-2', 'claims')
+  await release()
+  t.deepEqual(ran, ['/first'])
+  t.like(refused[0]?.refusal, { code: 'no-target', outcome: 'not-run' })
+  t.is(gate.load().inFlight, 0)
+})
+
 // Guards against a slot that stays taken after a caller has left in the middle of a body: the target then gets ever fewer calls.
 test('a call cancelled while its body arrives releases its permit and is reported as not run', async (t) => {
   const { clock, gate, refused, executor } = createFixture({ run: () => Promise.reject(new Error('the call must not be sent')) })
--- a/packages/node/src/calls/executor.ts
+++ b/packages/node/src/calls/executor.ts
@@ -175,6 +175,9 @@
       return refuseUnsent(notRun('deadline-exceeded', 'the call was cancelled or its deadline passed before it was sent to the target'))
     }
     if (current === undefined) return refuseUnsent(notRun('no-target', 'the target process has ended', 1))
+    // Another process may have got the address while the call waited.
+    const unavailable = noTargetRefusal(call, target)
+    if (unavailable !== undefined) return refuseUnsent(unavailable)
     const crashRefusal = crashes.refusalBeforeSend(fingerprint, asSuspect)
     if (crashRefusal !== undefined) return refuseUnsent(crashRefusal)
     const running = crashes.started(fingerprint, current.announcement)
