Refuse queued calls once the drain time of their target has passed

Cause: whether the target leaves was checked when a call arrived, not when it left the queue. Change: an accepted call is refused as not run once its target has been leaving for as long as new calls are accepted. The planned stop of the node itself doesn't refuse accepted calls, as before.

--- a/packages/node/src/calls/executor.test.ts
+++ b/packages/node/src/calls/executor.test.ts
@@ -32,7 +32,7 @@
 
 /** Creates an executor with a fake clock and a target whose client is `run`. */
 function createFixture (
-  { run, slots = 1, callRefusal, checkResponse, crashes }: Pick<ExecutorOptions, 'checkResponse' | 'crashes'> & {
+  { run, slots = 1, callRefusal, sendRefusal, checkResponse, crashes }: Pick<ExecutorOptions, 'sendRefusal' | 'checkResponse' | 'crashes'> & {
     run: TargetClient['run'], slots?: number, callRefusal?: Refusal | undefined
   }
 ) {
@@ -51,6 +51,7 @@
     inbound: createInboundCalls(clock.nowMs),
     guard: { begin: () => Promise.reject(new Error('no call of this test has a key')) },
     callRefusal: () => callRefusal,
+    ...(sendRefusal === undefined ? {} : { sendRefusal }),
     readNotices: createNoticeReader({ rateLimit: 'x-limit', leaving: 'x-leaving' }),
     onNotices: (_sender, { leaving }) => { leavingNotices += leaving ? 1 : 0 },
     ...(checkResponse === undefined ? {} : { checkResponse }),
@@ -119,7 +120,7 @@
 })
 
 /** Starts a call that takes the only slot and one that waits for it; `release` ends the first and resolves when both have ended. */
-async function queueBehindRunningCall (callRefusal?: Refusal) {
+async function queueBehindRunningCall (sendRefusal: ExecutorOptions['sendRefusal'] = () => undefined) {
   const ran: string[] = []
   let respond = () => {}
   const fixture = createFixture({
@@ -128,7 +129,7 @@
       const body = { read: () => Promise.resolve(undefined), takeRest: () => new Uint8Array(0) }
       respond = () => resolve({ kind: 'head', status: 200, headers: [], unframed: false, body, abort: () => {} })
     }),
-    callRefusal
+    sendRefusal
   })
   for (const path of ['/first', '/second']) {
     fixture.executor.execute(createIncomingCall(createHead({ path }), () => {}, () => {}))
@@ -153,6 +154,16 @@
   t.is(gate.load().inFlight, 0)
 })
 
+// Guards against requests that reach a target after its drain time, and are lost when it ends, because they were accepted before.
+test('a call that waited is not sent to a target that has been leaving for the drain time', async (t) => {
+  let isDrained = false
+  const { refused, ran, release } = await queueBehindRunningCall(() => isDrained ? notRun('draining', 'the target is leaving', 1) : undefined)
+  isDrained = true
+  await release()
+  t.deepEqual(ran, ['/first'])
+  t.like(refused[0]?.refusal, { code: 'draining', outcome: 'not-run' })
+})
+
 // Guards against a slot that stays taken after a caller has left in the middle of a body: the target then gets ever fewer calls.
 test('a call cancelled while its body arrives releases its permit and is reported as not run', async (t) => {
   const { clock, gate, refused, executor } = createFixture({ run: () => Promise.reject(new Error('the call must not be sent')) })
--- a/packages/node/src/calls/executor.ts
+++ b/packages/node/src/calls/executor.ts
@@ -28,6 +28,8 @@
   clock: Clock
   /** Refusal for a new call that this node must not accept; undefined otherwise. */
   callRefusal: (head: CallHead) => Refusal | undefined
+  /** Refusal for an accepted call that has waited and must not be sent to the target any more; undefined otherwise. */
+  sendRefusal?: () => Refusal | undefined
   /** Builds the headers sent to the target; by default those of orioleslip's own HTTP interface. */
   targetHeaders?: TargetHeaders
   /** True for a response whose headers show that it belongs to another call; its connection is closed and not used again. */
@@ -61,7 +63,7 @@
   const { target, gate, inbound, guard, clock } = options
   const { targetHeaders = defaultTargetHeaders, isForeignResponse = () => false } = options
   const { checkResponse = () => ({ kind: 'ran' }), readNotices = createNoticeReader(HEADERS) } = options
-  const { onRefused = () => {}, onSent = () => {}, onNotices = () => {} } = options
+  const { sendRefusal = () => undefined, onRefused = () => {}, onSent = () => {}, onNotices = () => {} } = options
 
   /** Calls from nodes of earlier versions have no fingerprint by which they could be told apart. */
   const crashGuardOf = ({ fingerprint }: CallHead): GuardedCall =>
@@ -175,8 +177,8 @@
       return refuseUnsent(notRun('deadline-exceeded', 'the call was cancelled or its deadline passed before it was sent to the target'))
     }
     if (current === undefined) return refuseUnsent(notRun('no-target', 'the target process has ended', 1))
-    // Another process may have got the address while the call waited.
-    const unavailable = noTargetRefusal(call, target)
+    // While the call waited, the target may have left, or another process may have got its address.
+    const unavailable = sendRefusal() ?? noTargetRefusal(call, target)
     if (unavailable !== undefined) return refuseUnsent(unavailable)
     const crashRefusal = crashes.refusalBeforeSend(fingerprint, asSuspect)
     if (crashRefusal !== undefined) return refuseUnsent(crashRefusal)
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -93,8 +93,8 @@
   const { crashes, lifecycle, announce } = createGuardedTarget({
     target, availability, watch, clock, log, host: vm.address, members, pool: () => pool
   })
-  const { callRefusal, onSent, onNotices } = lifecycle
-  const executor = createExecutor({ target, gate, inbound, guard, crashes, clock, callRefusal, onSent, onNotices })
+  const { callRefusal, sendRefusal, onSent, onNotices } = lifecycle
+  const executor = createExecutor({ target, gate, inbound, guard, crashes, clock, callRefusal, sendRefusal, onSent, onNotices })
   const listener = await listenForPeers({
     address: peerAddress,
     identity: { fleetKey, vmId: vm.id },
--- a/packages/node/src/routes/routed-node.ts
+++ b/packages/node/src/routes/routed-node.ts
@@ -94,6 +94,7 @@
     crashes,
     clock,
     callRefusal: lifecycle.callRefusal,
+    sendRefusal: lifecycle.sendRefusal,
     onSent: lifecycle.onSent,
     onNotices: lifecycle.onNotices,
     targetHeaders: createRoutedTargetHeaders(names),
--- a/packages/node/src/server/drain.ts
+++ b/packages/node/src/server/drain.ts
@@ -14,6 +14,8 @@
 export type Availability = {
   /** Refusal for new calls to the target; undefined while it accepts them. */
   targetRefusal: () => Refusal | undefined
+  /** Refusal for accepted calls that have not been sent to the target yet; undefined while they may be sent. */
+  sendRefusal: () => Refusal | undefined
   /** Refusal for new requests from callers; undefined while they are accepted. */
   entryRefusal: () => Refusal | undefined
   stopping: () => boolean
@@ -34,13 +36,14 @@
   let leavingMs: number | undefined
   let state: Announcement['state'] | undefined
   const hasElapsed = (sinceMs: number | undefined, delayMs: number) => sinceMs !== undefined && clock.nowMs() - sinceMs >= delayMs
+  const sendRefusal = () => hasElapsed(leavingMs, leaveSpreadMs) ? notRun('draining', 'the target is leaving', 1) : undefined
   return {
     targetRefusal: () => {
       if (hasElapsed(stoppedMs, leaveSpreadMs)) return notRun('draining', 'the node is stopping', 1)
-      if (hasElapsed(leavingMs, leaveSpreadMs)) return notRun('draining', 'the target is leaving', 1)
       if (state === 'starting') return notRun('no-target', 'the target is starting', 1)
-      return undefined
+      return sendRefusal()
     },
+    sendRefusal,
     entryRefusal: () => hasElapsed(stoppedMs, ENTRY_ACCEPT_MS) ? notRun('draining', 'the node is stopping', 1) : undefined,
     stopping: () => stoppedMs !== undefined,
     stop: () => { stoppedMs ??= clock.nowMs() },
--- a/packages/node/src/target/target-lifecycle.ts
+++ b/packages/node/src/target/target-lifecycle.ts
@@ -30,6 +30,8 @@
   processEnded: (process: Announcement) => void
   /** Refusal for a call that this node must not accept; undefined otherwise. */
   callRefusal: (head: Pick<CallHead, 'leavingProcess'>) => Refusal | undefined
+  /** Refusal for an accepted call that has not been sent to the target yet; undefined otherwise. */
+  sendRefusal: () => Refusal | undefined
   /** Counts a call that is sent to the target. */
   onSent: () => void
   /** Applies what the announced process says of itself in a response. */
@@ -103,6 +105,7 @@
       if (leavingProcess !== undefined) applyReportedLeaving(leavingProcess)
       return availability.targetRefusal()
     },
+    sendRefusal: availability.sendRefusal,
     onSent: rateLimitLog.sent,
     onNotices: (sender, { rateLimit, leaving }) => {
       rateLimitLog.noticed(sender.instance, rateLimit)
