Log how each response without a length ended, and the incarnations of a member that is alive again

The record could not tell a reset from an orderly end, nor a member that was stopped from one that was started again, and no line named the requests. The node beside the target now writes unframed-response: body bytes, calls on the connection, how it ended, and the result. For that the target client keeps a record of each connection in place of one flag for all of them; undici's pool passes the options of a call on, through which the handler gets the record of its connection.

--- a/packages/node/src/calls/executor.test.ts
+++ b/packages/node/src/calls/executor.test.ts
@@ -30,6 +30,21 @@
   }
 }
 
+type HeadReply = Extract<TargetReply, { kind: 'head' }>
+
+/** Creates a reply of the target whose head has arrived. */
+function headReply (over: Partial<HeadReply> & Pick<HeadReply, 'body'>): HeadReply {
+  return {
+    kind: 'head',
+    status: 200,
+    headers: [],
+    unframed: false,
+    abort: () => {},
+    transfer: () => ({ bodyBytes: 0, connectionCalls: 1, connectionEnd: 'open' }),
+    ...over
+  }
+}
+
 /** Creates an executor with a fake clock and a target whose client is `run`. */
 function createFixture (
   { run, slots = 1, callRefusal, sendRefusal, checkResponse, crashes }: Pick<ExecutorOptions, 'sendRefusal' | 'checkResponse' | 'crashes'> & {
@@ -107,7 +122,7 @@
 // Guards against a cut-off response that is not reported on the node that observed it, since its head had already been forwarded.
 test('a response that is cut off is reported', async (t) => {
   const body = { read: () => Promise.reject(new Error('cut')), takeRest: () => undefined }
-  const { refused } = await runCall({ reply: { kind: 'head', status: 200, headers: [], unframed: false, body, abort: () => {} } })
+  const { refused } = await runCall({ reply: headReply({ body }) })
   t.like(refused[0]!.refusal, unknownOutcome('bad-answer', 'the target\'s response was cut off: cut'))
 })
 
@@ -127,7 +142,7 @@
     run: ({ path }) => new Promise((resolve) => {
       ran.push(path)
       const body = { read: () => Promise.resolve(undefined), takeRest: () => new Uint8Array(0) }
-      respond = () => resolve({ kind: 'head', status: 200, headers: [], unframed: false, body, abort: () => {} })
+      respond = () => resolve(headReply({ body }))
     }),
     sendRefusal
   })
@@ -202,7 +217,7 @@
     sentMs.push(clock.nowMs())
     await clock.sleep(serviceMs)
     const body = { read: async () => undefined, takeRest: () => undefined }
-    return { kind: 'head', status: 200, headers: ['x-limit', limit], unframed: false, body, abort: () => {} }
+    return headReply({ headers: ['x-limit', limit], body })
   }
   const { clock, gate, refused, executor } = createFixture({ run, slots: 100 })
   for (let i = 0; i < perSecond * seconds; i++) {
@@ -234,7 +249,7 @@
     run: async () => {
       await clock.sleep(50)
       const body = { read: async () => undefined, takeRest: () => undefined }
-      return { kind: 'head', status: 200, headers: ['x-limit', '5'], unframed: false, body, abort: () => {} }
+      return headReply({ headers: ['x-limit', '5'], body })
     },
     slots: 10
   })
@@ -255,7 +270,7 @@
   const { clock, gate, refused, executor, leavingNotices } = createFixture({
     run: async () => {
       const body = { read: async () => undefined, takeRest: () => undefined }
-      return { kind: 'head', status, headers: ['x-limit', '5', 'x-leaving', '1', 'x-not-run', '1'], unframed: false, body, abort: () => {} }
+      return headReply({ status, headers: ['x-limit', '5', 'x-leaving', '1', 'x-not-run', '1'], body })
     },
     slots: 10,
     checkResponse: createResponseCheck(names)
--- a/packages/node/src/calls/executor.ts
+++ b/packages/node/src/calls/executor.ts
@@ -8,7 +8,7 @@
 import type { IncomingCall } from '../links/incoming-call.js'
 import type { CallHead, CallReport } from '../links/messages.js'
 import { isSameProcess, type Announcement, type LocalTarget } from '../target/local-target.js'
-import type { TargetReply } from '../target/target-client.js'
+import type { ResponseTransferState, TargetReply } from '../target/target-client.js'
 import { startDeadline, type CallDeadline } from './call-deadline.js'
 import { defaultTargetHeaders } from './default-target-headers.js'
 import type { InboundCall, InboundCalls } from './inbound-calls.js'
@@ -44,8 +44,13 @@
   onNotices?: (announcement: Announcement, notices: TargetNotices) => void
   /** Called for each call refused here, with the load that the decision was based on. */
   onRefused?: (call: IncomingCall, refusal: Refusal, report: CallReport) => void
+  /** Called for each response without a length, once it has ended. */
+  onUnframed?: (call: IncomingCall, response: UnframedResponse) => void
 }
 
+/** A response without a length, which ends with its connection. */
+export type UnframedResponse = ResponseTransferState & { end: ResponseEnd, latencyMs: number }
+
 /** What a response says about the run of its call. */
 export type ResponseCheck =
   | { kind: 'ran' }
@@ -64,6 +69,7 @@
   const { targetHeaders = defaultTargetHeaders, isForeignResponse = () => false } = options
   const { checkResponse = () => ({ kind: 'ran' }), readNotices = createNoticeReader(HEADERS) } = options
   const { sendRefusal = () => undefined, onRefused = () => {}, onSent = () => {}, onNotices = () => {} } = options
+  const { onUnframed = () => {} } = options
 
   /** Calls from nodes of earlier versions have no fingerprint by which they could be told apart. */
   const crashGuardOf = ({ fingerprint }: CallHead): GuardedCall =>
@@ -211,6 +217,7 @@
       return refuseCall(call, check.refusal, { ...reportOf(self), reachedTarget: true })
     }
     const end = await forwardResponse({ call, guardedRun, reply, report: () => reportOf(self), refuse: refuseCall })
+    if (reply.unframed) onUnframed(call, { ...reply.transfer(), end, latencyMs: latencyMs() })
     if (end === 'complete') crashes.completed(running, head.service)
     else lost(running, deadline)
     permit.release(callEndOf({ end, status: reply.status, latencyMs: latencyMs(), self }, deadline))
--- a/packages/node/src/members/members.ts
+++ b/packages/node/src/members/members.ts
@@ -101,7 +101,11 @@
     if (result !== 'applied' || now === undefined) return false
     const { host, port } = gossipAddress(now.record)
     if (host === self.host && port === self.gossipPort) table.raiseLiveness(vmId, 'failed')
-    if (previous?.liveness === 'failed' && now.liveness === 'alive') log.info({ event: 'member', vmId, state: 'alive' }, 'failed member is alive again')
+    if (previous?.liveness === 'failed' && now.liveness === 'alive') {
+      const { incarnation } = now.record
+      const previousIncarnation = previous.record.incarnation
+      log.info({ event: 'member', vmId, state: 'alive', incarnation, previousIncarnation }, 'failed member is alive again')
+    }
     if (disseminate) {
       dissemination.add(vmId, { full: update.record !== undefined, urgent: endsWork(previous?.record, now) })
     }
--- a/packages/node/src/routes/routed-node.ts
+++ b/packages/node/src/routes/routed-node.ts
@@ -5,7 +5,7 @@
 import type { Logger } from 'pino'
 import { startGateTicks } from '../admission/gate-ticks.js'
 import { createTargetGate } from '../admission/target-gate.js'
-import { createExecutor } from '../calls/executor.js'
+import { createExecutor, type UnframedResponse } from '../calls/executor.js'
 import { createForwarder } from '../calls/forwarder.js'
 import { createInboundCalls } from '../calls/inbound-calls.js'
 import { createNodeStats, GAUGE_INTERVAL_MS, reportGauges, type MetricsSink } from '../calls/node-stats.js'
@@ -101,7 +101,8 @@
     isForeignResponse: createForeignResponseTest(names),
     checkResponse: createResponseCheck(names),
     readNotices: createNoticeReader(deps.notices),
-    onRefused: (call, refusal, report) => logRefusedCall(log, call, refusal, report)
+    onRefused: (call, refusal, report) => logRefusedCall(log, call, refusal, report),
+    onUnframed: (call, response) => logUnframedResponse(log, call, response)
   })
   const listener = await listenForPeers({
     address: peerAddress,
@@ -204,6 +205,19 @@
   }, 'call refused or abandoned at this node')
 }
 
+function logUnframedResponse (log: Logger, { head }: IncomingCall, response: UnframedResponse): void {
+  log.info({
+    event: 'unframed-response',
+    requestId: head.root.requestId,
+    route: head.opKey,
+    bodyBytes: response.bodyBytes,
+    connectionCalls: response.connectionCalls,
+    connectionEnd: response.connectionEnd,
+    latencyMs: Math.round(response.latencyMs),
+    end: response.end
+  }, 'a response without a length has ended')
+}
+
 function logRequest (log: Logger, ending: RequestSummary): void {
   if (ending.outcome === 'complete' && ending.status < 500) log.debug({ event: 'request', ...ending }, 'request ended')
   else log.info({ event: 'request', ...ending }, 'request failed')
--- a/packages/node/src/target/target-client.ts
+++ b/packages/node/src/target/target-client.ts
@@ -1,7 +1,8 @@
 import { Readable } from 'node:stream'
 import { endToEndHeaders, headerValue, type CancelSignal, type PeerAddress } from '@orioleslip/core'
-import { buildConnector, Pool, type Dispatcher } from 'undici'
+import { Pool, type Dispatcher } from 'undici'
 import { createByteQueue, type ByteQueue } from '../links/byte-queue.js'
+import { createConnectionFactory, type ConnectedDispatchOptions, type TargetConnection } from './target-connections.js'
 
 /** Body of a call to the target. */
 export type TargetBody =
@@ -19,6 +20,9 @@
   isForeign?: (headers: readonly string[]) => boolean
 }
 
+/** State of the transfer of a response: body bytes received, calls sent on its connection, and how that has ended. */
+export type ResponseTransferState = { bodyBytes: number, connectionCalls: number, connectionEnd: TargetConnection['end'] }
+
 /** First result of a call to the target. `sent` is false only if no byte was written to the target. */
 export type TargetReply =
   | {
@@ -30,6 +34,8 @@
     body: Pick<ByteQueue, 'read' | 'takeRest'>
     /** Discards the response and closes its connection. */
     abort: () => void
+    /** What has arrived so far, and on which connection. */
+    transfer: () => ResponseTransferState
   }
   | { kind: 'failed', sent: boolean, message: string }
   | { kind: 'foreign' }
@@ -46,17 +52,15 @@
 
 /** Number of response bytes buffered for a slow reader before the target's socket is paused. */
 const RESPONSE_BUFFER_BYTES = 256 * 1024
-const CONNECT_TIMEOUT_MS = 1000
 /** Idle connections are closed before HTTP servers close them, usually after 5 s, so that no request is sent on a closing connection. */
 const KEEP_ALIVE_MS = 4000
 
 /** Creates the HTTP client of the local target; `maxConnections` limits its concurrent calls. */
 export function createTargetClient (address: PeerAddress, maxConnections: number, options: TargetClientOptions = {}): TargetClient {
-  const resets = trackResets()
   const pool = new Pool(`http://${address.host}:${address.port}`, {
     connections: maxConnections,
     pipelining: 1,
-    connect: resets.connect,
+    factory: createConnectionFactory(),
     keepAliveTimeout: KEEP_ALIVE_MS,
     // The deadline of the call limits both.
     headersTimeout: 0,
@@ -64,15 +68,16 @@
   })
   return {
     run: (req) => new Promise((resolve) => {
-      pool.dispatch(dispatchOptions(req), createHandler(req, resolve, { ...options, resetInProgress: resets.inProgress }))
+      const handler = createHandler(req, resolve, options)
+      pool.dispatch(dispatchOptions(req, handler.onDispatch), handler)
     }),
     close: () => pool.close()
   }
 }
 
-function dispatchOptions (req: TargetRequest): Dispatcher.DispatchOptions {
+function dispatchOptions (req: TargetRequest, onDispatch: OnDispatch): ConnectedDispatchOptions {
   const method = req.method as Dispatcher.HttpMethod
-  return { method, path: req.path, headers: req.headers, body: toUndiciBody(req.body), blocking: false }
+  return { method, path: req.path, headers: req.headers, body: toUndiciBody(req.body), blocking: false, onDispatch }
 }
 
 function toUndiciBody (body: TargetBody): Buffer | Readable | null {
@@ -91,33 +96,16 @@
   }
 }
 
-/**
- * Detects whether a connection is being reset. undici treats a reset as the end of a response without framing, although that response is
- * incomplete. The flag is set by listeners that run before undici's own and is cleared after the event has been handled.
- */
-function trackResets () {
-  const connector = buildConnector({ timeout: CONNECT_TIMEOUT_MS })
-  let inProgress = false
-  const onReset = () => {
-    inProgress = true
-    process.nextTick(() => { inProgress = false })
-  }
-  const connect: buildConnector.connector = (opts, callback) => connector(opts, (...result) => {
-    const [, socket] = result
-    socket?.prependListener('error', onReset)
-    // Node.js reports the end of a connection whose reset arrives with the last bytes; such a connection has no peer any more.
-    socket?.prependListener('end', () => { if (socket.remoteAddress === undefined) onReset() })
-    callback(...result)
-  })
-  return { connect, inProgress: () => inProgress }
-}
+type OnDispatch = ConnectedDispatchOptions['onDispatch']
 
 function createHandler (
-  req: TargetRequest, resolve: (reply: TargetReply) => void,
-  { acceptUnframed = false, resetInProgress }: TargetClientOptions & { resetInProgress: () => boolean }
-): Dispatcher.DispatchHandler {
+  req: TargetRequest, resolve: (reply: TargetReply) => void, { acceptUnframed = false }: TargetClientOptions
+): Dispatcher.DispatchHandler & { onDispatch: OnDispatch } {
+  let connectionOf: (() => TargetConnection) | undefined
+  let connection: TargetConnection | undefined
   let sent = false
   let framed = true
+  let bodyBytes = 0
   let controller: Dispatcher.DispatchController | undefined
   let paused = false
   const body = createByteQueue(() => {
@@ -131,9 +119,15 @@
     resolve({ kind: 'failed', sent, message })
     body.fail(new Error(message))
   }
+  const transfer = (): ResponseTransferState => ({
+    bodyBytes, connectionCalls: connection?.calls ?? 0, connectionEnd: connection?.end ?? 'open'
+  })
   return {
+    onDispatch: (getConnection) => { connectionOf = getConnection },
     onRequestStart: (requestController) => {
       controller = requestController
+      connection = connectionOf?.()
+      if (connection !== undefined) connection.calls++
       // A request that was cancelled while it waited for a connection must not be sent.
       if (req.signal.aborted) return abort()
       sent = true
@@ -151,16 +145,17 @@
         fail('the response has neither Content-Length nor chunked encoding, so that its end can\'t be checked')
         return abort()
       }
-      resolve({ kind: 'head', status, headers: endToEndHeaders(raw), unframed: !framed, body, abort })
+      resolve({ kind: 'head', status, headers: endToEndHeaders(raw), unframed: !framed, body, abort, transfer })
     },
     onResponseData: (_controller, chunk) => {
+      bodyBytes += chunk.length
       body.push(chunk)
       if (body.size() < RESPONSE_BUFFER_BYTES) return
       paused = true
       controller?.pause()
     },
     onResponseEnd: () => {
-      if (!framed && resetInProgress()) return fail('the connection was reset before the end of a response without Content-Length or chunked encoding')
+      if (!framed && connection?.end === 'reset') return fail('the connection was reset before the end of a response without Content-Length or chunked encoding')
       req.signal.removeEventListener('abort', abort)
       body.end()
     },
--- /dev/null
+++ b/packages/node/src/target/target-connections.ts
@@ -0,0 +1,52 @@
+import type { Socket } from 'node:net'
+import { buildConnector, Client, type Dispatcher } from 'undici'
+
+/** A connection to the target, with what is known of its use and its end. */
+export type TargetConnection = {
+  /** Number of calls that were sent on it, the current one included. */
+  calls: number
+  /** How it has ended: `closed` in order by the target, or `reset`. */
+  end: 'open' | 'closed' | 'reset'
+}
+
+/** Options of a call that is told on which connection it is sent. */
+export type ConnectedDispatchOptions = Dispatcher.DispatchOptions & {
+  /** Receives a function that returns the connection, which is known once the call is sent. */
+  onDispatch: (connection: () => TargetConnection) => void
+}
+
+const CONNECT_TIMEOUT_MS = 1000
+
+/** Creates the factory of a pool's clients, each of which has one connection at a time; calls need `ConnectedDispatchOptions`. */
+export function createConnectionFactory () {
+  const connector = buildConnector({ timeout: CONNECT_TIMEOUT_MS })
+  return (origin: URL, opts: object): Dispatcher => {
+    let connection = newConnection()
+    const connect: buildConnector.connector = (connectOptions, callback) => connector(connectOptions, (...result) => {
+      // undici leaves the socket out after an error.
+      const socket = result[1] ?? undefined
+      if (socket !== undefined) {
+        connection = newConnection()
+        watchEnd(socket, connection)
+      }
+      callback(...result)
+    })
+    const client = new Client(origin, { ...opts, connect })
+    const dispatch = client.dispatch.bind(client)
+    client.dispatch = (options, handler) => {
+      (options as ConnectedDispatchOptions).onDispatch(() => connection)
+      return dispatch(options, handler)
+    }
+    return client
+  }
+}
+
+const newConnection = (): TargetConnection => ({ calls: 0, end: 'open' })
+
+/** Records how the connection ends. undici treats a reset as the end of a response without a length; these listeners run before its own. */
+function watchEnd (socket: Socket, connection: TargetConnection): void {
+  const ended = (end: 'closed' | 'reset') => { if (connection.end === 'open') connection.end = end }
+  socket.prependListener('error', () => ended('reset'))
+  // Node.js reports the end of a connection whose reset arrives with the last bytes; such a connection has no peer any more.
+  socket.prependListener('end', () => ended(socket.remoteAddress === undefined ? 'reset' : 'closed'))
+}
