--- a/packages/node/src/testing/faulty-target.ts
+++ b/packages/node/src/testing/faulty-target.ts
@@ -89,5 +89,10 @@
     }, () => {})
     executor.execute(incoming)
   })
-  return { call, inFlight: () => inbound.size(), requests: () => requests }
+  /** Does what the kernel does when the target process is killed: its connections end in order, and nothing listens any more. */
+  const endProcess = () => {
+    server.close()
+    for (const socket of sockets) socket.end()
+  }
+  return { call, inFlight: () => inbound.size(), requests: () => requests, endProcess }
 }
