Take a response without a length for cut when it was not read for a second

Change: the members keep the gaps in which the process did not run, which the check of confirmed membership read already, and the handler of a response the time for which it paused the connection. A response without a length that was unread for 1 s is cut; targets wait for some seconds. A gap counts before its timer has run, since what arrived meanwhile is handled first. Error: a whole response without a length that was unread for a second is refused.

--- a/packages/node/src/calls/executor.test.ts
+++ b/packages/node/src/calls/executor.test.ts
@@ -40,7 +40,7 @@
     headers: [],
     unframed: false,
     abort: () => {},
-    transfer: () => ({ bodyBytes: 0, connectionCalls: 1, connectionEnd: 'open' }),
+    transfer: () => ({ bodyBytes: 0, connectionCalls: 1, connectionEnd: 'open', unreadMs: 0 }),
     ...over
   }
 }
--- a/packages/node/src/members/members.ts
+++ b/packages/node/src/members/members.ts
@@ -6,6 +6,7 @@
 import type { Log } from './self-record.js'
 import { createCachedView, gossipAddress, randomSample } from './peers.js'
 import { createProber } from './prober.js'
+import { createRunGaps } from './run-gaps.js'
 import type { Address, DatagramSocket } from './socket.js'
 import { createByteBudget, createDissemination } from './dissemination.js'
 import { createSync } from './sync.js'
@@ -47,6 +48,8 @@
   chooseSyncPeer: () => MemberRecord | undefined
   /** False until this process has a table, and after a freeze until a member has replied with its state; it must not accept work then. */
   isConfirmed: () => boolean
+  /** Longest time in which this process did not run, among those that ended after `sinceMs` of the clock, in ms. */
+  longestGapMs: (sinceMs: number) => number
   stats: () => ChannelStats
 }
 
@@ -78,7 +81,7 @@
   let lastReceivedMs = -Infinity
   // Set after a freeze: an ack of a ping with a higher sequence number contains the sender's current state of this process.
   let resumingSinceSeq: number | undefined
-  let lastRunMs = clock.nowMs()
+  const runGaps = createRunGaps(clock)
   const prober = createProber({ clock, random, log, seeds, channel, table, dissemination, view, lastReceivedMs: () => lastReceivedMs })
   const sync = createSync({ clock, random, seeds, selfRecord, channel, table, view, budget, signal: stopping.signal })
   const isSelf = (vmId: string) => vmId === self.vmId
@@ -168,7 +171,7 @@
 
   const runGossip = async () => {
     while (!stopping.signal.aborted) {
-      lastRunMs = clock.nowMs()
+      runGaps.ran()
       gossip()
       if (resumingSinceSeq !== undefined) prober.pingSample(GOSSIP_FANOUT)
       const { failed, forgotten } = table.expire()
@@ -178,7 +181,7 @@
       logIds(forgotten, 'members removed from the table')
       if (failed.length + forgotten.length > 0) view.changed()
       await clock.sleep(GOSSIP_INTERVAL_MS, stopping.signal)
-      const lateMs = clock.nowMs() - lastRunMs - GOSSIP_INTERVAL_MS
+      const lateMs = runGaps.sinceLastMs() - GOSSIP_INTERVAL_MS
       if (lateMs > FREEZE_GAP_MS) resumeAfterFreeze(lateMs)
     }
   }
@@ -192,7 +195,7 @@
   return {
     ...view,
     start: () => {
-      lastRunMs = clock.nowMs()
+      runGaps.ran()
       socket.onMessage(receive)
       dissemination.add(self.vmId, { full: true, urgent: true })
       runGossip()
@@ -219,7 +222,8 @@
     },
     exportTable: () => sync.updates(true),
     chooseSyncPeer: () => randomSample(view.reachable().filter(({ record }) => record.role === 'node'), 1, random)[0]?.record,
-    isConfirmed: () => sync.joined() && resumingSinceSeq === undefined && clock.nowMs() - lastRunMs <= GOSSIP_INTERVAL_MS + FREEZE_GAP_MS,
+    isConfirmed: () => sync.joined() && resumingSinceSeq === undefined && runGaps.sinceLastMs() <= GOSSIP_INTERVAL_MS + FREEZE_GAP_MS,
+    longestGapMs: runGaps.longestMs,
     stats: () => ({ ...channel.stats })
   }
 }
--- a/packages/node/src/routes/routed-node.ts
+++ b/packages/node/src/routes/routed-node.ts
@@ -79,7 +79,9 @@
   const inbound = createInboundCalls(clock.nowMs)
   const stats = createNodeStats(metrics)
   const gate = createTargetGate({ clock, limiter: createAnnouncedLimit() })
-  const target = createLocalTarget(vm.address, { acceptUnframed: true, idHeader: names.requestId })
+  const target = createLocalTarget(vm.address, {
+    acceptUnframed: true, idHeader: names.requestId, clock, longestGapMs: members.longestGapMs
+  })
   target.onStarted(gate.targetStarted)
   const watch = createTargetWatch({ clock, log, publish: (record) => members.announceTarget(record), silenceMs: cfg.targetSilenceMs })
   const pool = createPeerPool({ fleetKey, vmId: vm.id }, (kind, body) => crashes.handleRequest(kind, body))
@@ -213,6 +215,7 @@
     bodyBytes: response.bodyBytes,
     connectionCalls: response.connectionCalls,
     connectionEnd: response.connectionEnd,
+    unreadMs: Math.round(response.unreadMs),
     latencyMs: Math.round(response.latencyMs),
     end: response.end
   }, 'a response without a length has ended')
--- a/packages/node/src/target/response-end.ts
+++ b/packages/node/src/target/response-end.ts
@@ -11,6 +11,8 @@
   connection: TargetConnection | undefined
   /** What the body contains, see `createCopyScanner`. */
   scanned: ScanResult
+  /** Longest time in which this node did not read the response, in ms. */
+  unreadMs: number
 }
 
 /** Returns why the body may not be the whole body of the target; undefined if nothing shows that. */
@@ -25,10 +27,13 @@
 
 /** Time in which the rest of a copied response arrives whose start has filled the end of a body, in ms. */
 const COPY_REST_MS = 20
+/** Time after which a target may have closed a connection because nobody read its bytes, in ms; targets wait for some seconds. */
+const UNREAD_MS = 1000
 
 /** Message for a body that contains a copy of another response. */
 export const COPY_MESSAGE = 'the body contains the start of another response'
 const RESET_MESSAGE = 'the connection was reset before the end of a response without Content-Length or chunked encoding'
+const UNREAD_MESSAGE = 'a response without Content-Length or chunked encoding was not read for a time in which the target may have cut it off'
 const ENDED_MESSAGE = 'the target process has ended with a response without Content-Length or chunked encoding'
 
 /** Creates the check of responses that have ended; a connection that ends in order does not show that the response on it was whole. */
@@ -42,8 +47,9 @@
   }
 
   return (response) => {
-    const { framed, closes, connection, scanned } = response
+    const { framed, closes, connection, scanned, unreadMs } = response
     if (!framed && connection?.end === 'reset') return RESET_MESSAGE
+    if (!framed && unreadMs >= UNREAD_MS) return UNREAD_MESSAGE
     if (closes && scanned === 'head') return COPY_MESSAGE
     if (!framed) return checkUnframed()
     return closes || scanned === 'clean' ? undefined : checkRest(response)
--- a/packages/node/src/target/response-handler.ts
+++ b/packages/node/src/target/response-handler.ts
@@ -1,4 +1,4 @@
-import { endToEndHeaders, headerValue } from '@orioleslip/core'
+import { endToEndHeaders, headerValue, type Clock } from '@orioleslip/core'
 import type { Dispatcher } from 'undici'
 import { createByteQueue } from '../links/byte-queue.js'
 import type { CopyDetection } from './copy-detection.js'
@@ -13,6 +13,9 @@
   /** Absent where responses do not carry the id of their call. */
   copies: CopyDetection | undefined
   checkEnd: ResponseEndCheck
+  clock: Clock
+  /** Longest time in which this process did not run, among those that ended after `sinceMs` of the clock, in ms. */
+  longestGapMs: (sinceMs: number) => number
 }
 
 export type OnDispatch = ConnectedDispatchOptions['onDispatch']
@@ -22,8 +25,9 @@
 
 /** Creates the undici handler of one call; `resolve` gets its first result. */
 export function createResponseHandler (
-  req: TargetRequest, resolve: (reply: TargetReply) => void, { acceptUnframed, copies, checkEnd }: ResponseHandlerOptions
+  req: TargetRequest, resolve: (reply: TargetReply) => void, options: ResponseHandlerOptions
 ): Dispatcher.DispatchHandler & { onDispatch: OnDispatch } {
+  const { acceptUnframed, copies, checkEnd, clock, longestGapMs } = options
   let connectionOf: (() => TargetConnection) | undefined
   let connection: TargetConnection | undefined
   let sent = false
@@ -33,10 +37,13 @@
   let scan: CopyScanner | undefined
   let scanned: ScanResult = 'clean'
   let controller: Dispatcher.DispatchController | undefined
-  let paused = false
+  let sentMs = 0
+  let pausedSinceMs: number | undefined
+  let longestPauseMs = 0
   const body = createByteQueue(() => {
-    if (!paused || body.size() >= RESPONSE_BUFFER_BYTES / 2) return
-    paused = false
+    if (pausedSinceMs === undefined || body.size() >= RESPONSE_BUFFER_BYTES / 2) return
+    longestPauseMs = Math.max(longestPauseMs, clock.nowMs() - pausedSinceMs)
+    pausedSinceMs = undefined
     controller?.resume()
   })
   const abort = () => controller?.abort(new Error('the call was cancelled'))
@@ -50,8 +57,12 @@
     body.end()
   }
   const settle = (doubt: string | undefined) => doubt === undefined ? complete() : fail(doubt)
+  const unreadMs = () => {
+    const pauseMs = pausedSinceMs === undefined ? 0 : clock.nowMs() - pausedSinceMs
+    return Math.max(longestPauseMs, pauseMs, longestGapMs(sentMs))
+  }
   const transfer = (): ResponseTransferState => ({
-    bodyBytes, connectionCalls: connection?.calls ?? 0, connectionEnd: connection?.end ?? 'open'
+    bodyBytes, connectionCalls: connection?.calls ?? 0, connectionEnd: connection?.end ?? 'open', unreadMs: unreadMs()
   })
   return {
     onDispatch: (getConnection) => { connectionOf = getConnection },
@@ -63,6 +74,7 @@
       // A request that was cancelled while it waited for a connection must not be sent.
       if (req.signal.aborted) return abort()
       sent = true
+      sentMs = clock.nowMs()
       req.signal.addEventListener('abort', abort, { once: true })
     },
     onResponseStart: (_controller, status, _headers) => {
@@ -90,11 +102,11 @@
       }
       body.push(chunk)
       if (body.size() < RESPONSE_BUFFER_BYTES) return
-      paused = true
+      pausedSinceMs ??= clock.nowMs()
       controller?.pause()
     },
     onResponseEnd: () => {
-      const doubt = checkEnd({ framed, closes, connection, scanned })
+      const doubt = checkEnd({ framed, closes, connection, scanned, unreadMs: unreadMs() })
       if (doubt instanceof Promise) doubt.then(settle, (err: unknown) => fail(String(err)))
       else settle(doubt)
     },
--- a/packages/node/src/target/target-client.ts
+++ b/packages/node/src/target/target-client.ts
@@ -1,5 +1,5 @@
 import { Readable } from 'node:stream'
-import { systemClock, type CancelSignal, type PeerAddress } from '@orioleslip/core'
+import { systemClock, type CancelSignal, type Clock, type PeerAddress } from '@orioleslip/core'
 import { Pool, type Dispatcher } from 'undici'
 import type { ByteQueue } from '../links/byte-queue.js'
 import { createCopyDetection } from './copy-detection.js'
@@ -24,8 +24,16 @@
   isForeign?: (headers: readonly string[]) => boolean
 }
 
-/** State of the transfer of a response: body bytes received, calls sent on its connection, and how that has ended. */
-export type ResponseTransferState = { bodyBytes: number, connectionCalls: number, connectionEnd: TargetConnection['end'] }
+/** State of the transfer of a response. */
+export type ResponseTransferState = {
+  /** Number of body bytes received. */
+  bodyBytes: number
+  /** Number of calls that were sent on its connection. */
+  connectionCalls: number
+  connectionEnd: TargetConnection['end']
+  /** Longest time in which this node did not read the response, in ms. */
+  unreadMs: number
+}
 
 /** First result of a call to the target. `sent` is false only if no byte was written to the target. */
 export type TargetReply =
@@ -49,6 +57,9 @@
   acceptUnframed?: boolean
   /** Name, in lower case, of the header that targets copy from a call into its response; copies of responses are recognised by it. */
   idHeader?: string
+  clock?: Clock
+  /** Longest time in which this process did not run, among those that ended after `sinceMs` of the clock, in ms; 0 by default. */
+  longestGapMs?: (sinceMs: number) => number
 }
 
 export type TargetClient = {
@@ -61,12 +72,12 @@
 
 /** Creates the HTTP client of the local target; `maxConnections` limits its concurrent calls. */
 export function createTargetClient (address: PeerAddress, maxConnections: number, options: TargetClientOptions = {}): TargetClient {
-  const { acceptUnframed = false, idHeader } = options
+  const { acceptUnframed = false, idHeader, clock = systemClock, longestGapMs = () => 0 } = options
   const copies = idHeader === undefined ? undefined : createCopyDetection(idHeader)
   const connections = createTargetConnections()
   const checkEnd = createResponseEndCheck({
-    clock: systemClock,
-    isTargetRunning: createTargetLiveness({ connections, address, clock: systemClock })
+    clock,
+    isTargetRunning: createTargetLiveness({ connections, address, clock })
   })
   const pool = new Pool(`http://${address.host}:${address.port}`, {
     connections: maxConnections,
@@ -79,7 +90,7 @@
   })
   return {
     run: (req) => new Promise((resolve) => {
-      const handler = createResponseHandler(req, resolve, { acceptUnframed, copies, checkEnd })
+      const handler = createResponseHandler(req, resolve, { acceptUnframed, copies, checkEnd, clock, longestGapMs })
       pool.dispatch(dispatchOptions(req, handler.onDispatch), handler)
     }),
     close: () => pool.close()
