Resume a paused response before its connection ends

A node ended with an uncaught assertion (undici, assert(!this.paused) in finish) when its target closed or reset a connection that ends with its response, while the response was paused for a slow reader. When a node ends, all its answers end in order. Cause: on such an end undici completes the response, which its parser can't do while it is paused. Seen with bodies that fit between what the client of the target buffers and what the socket does (300 kB); larger ones keep the socket from reporting its end. Change: listeners that run before undici's resume the response at an orderly end, without a further pause, and give a reset another code than the one that undici takes for the end of a response. Elsewhere undici is used by the client of the control API and by the command line, which read each body at once from servers that send a length or chunks (by reading).

--- a/packages/node/src/target/response-handler.ts
+++ b/packages/node/src/target/response-handler.ts
@@ -40,12 +40,14 @@
   let sentMs = 0
   let pausedSinceMs: number | undefined
   let longestPauseMs = 0
-  const body = createByteQueue(() => {
-    if (pausedSinceMs === undefined || body.size() >= RESPONSE_BUFFER_BYTES / 2) return
+  let isClosing = false
+  const resume = () => {
+    if (pausedSinceMs === undefined) return
     longestPauseMs = Math.max(longestPauseMs, clock.nowMs() - pausedSinceMs)
     pausedSinceMs = undefined
     controller?.resume()
-  })
+  }
+  const body = createByteQueue(() => { if (body.size() < RESPONSE_BUFFER_BYTES / 2) resume() })
   const abort = () => controller?.abort(new Error('the call was cancelled'))
   const fail = (message: string) => {
     req.signal.removeEventListener('abort', abort)
@@ -69,7 +71,13 @@
     onRequestStart: (requestController) => {
       controller = requestController
       connection = connectionOf?.()
-      if (connection !== undefined) connection.calls++
+      if (connection !== undefined) {
+        connection.calls++
+        connection.onClosing = () => {
+          isClosing = true
+          resume()
+        }
+      }
       copies?.callSent(req.headers)
       // A request that was cancelled while it waited for a connection must not be sent.
       if (req.signal.aborted) return abort()
@@ -101,7 +109,7 @@
         return abort()
       }
       body.push(chunk)
-      if (body.size() < RESPONSE_BUFFER_BYTES) return
+      if (isClosing || body.size() < RESPONSE_BUFFER_BYTES) return
       pausedSinceMs ??= clock.nowMs()
       controller?.pause()
     },
--- a/packages/node/src/target/target-connections.ts
+++ b/packages/node/src/target/target-connections.ts
@@ -7,6 +7,8 @@
   calls: number
   /** How it has ended: `closed` in order, or `reset`, also by an error of this node. */
   end: 'open' | 'closed' | 'reset'
+  /** Called when the target has closed the connection in order, before undici handles that; a paused response has to be resumed here. */
+  onClosing: () => void
 }
 
 /** Options of a call that is told on which connection it is sent. */
@@ -51,7 +53,7 @@
   return { factory, open: () => [...open] }
 }
 
-const newConnection = (): TargetConnection => ({ calls: 0, end: 'open' })
+const newConnection = (): TargetConnection => ({ calls: 0, end: 'open', onClosing: () => {} })
 
 /** Records how the connection ends. undici treats a reset as the end of a response without a length; these listeners run before its own. */
 function watchEnd (socket: Socket, connection: TargetConnection, open: Set<TargetConnection>): void {
@@ -60,9 +62,16 @@
     if (!open.delete(connection)) return
     connection.end = end
   }
-  // undici closes a connection that is not kept with an error of its own.
-  socket.prependListener('error', (err: NodeJS.ErrnoException) => ended(err.code === 'UND_ERR_INFO' ? 'closed' : 'reset'))
+  socket.prependListener('error', (err: NodeJS.ErrnoException) => {
+    // undici closes a connection that is not kept with an error of its own.
+    ended(err.code === 'UND_ERR_INFO' ? 'closed' : 'reset')
+    // undici would try to complete the response, and fails while it is paused.
+    if (err.code === 'ECONNRESET') err.code = 'UND_ERR_SOCKET'
+  })
   // Node.js reports the end of a connection whose reset arrives with the last bytes; such a connection has no peer any more.
-  socket.prependListener('end', () => ended(socket.remoteAddress === undefined ? 'reset' : 'closed'))
+  socket.prependListener('end', () => {
+    ended(socket.remoteAddress === undefined ? 'reset' : 'closed')
+    connection.onClosing()
+  })
   socket.prependListener('close', () => ended('closed'))
 }
