Hold a response without a length at the node beside its target until its end is checked

Callers got a reset connection for a response without a length that turned out to be cut, although nothing of it had been written to them: its head had left the node beside the target, so that the call could neither be refused nor sent to another target. Change: forwardResponse holds such a response, within the limits of held bodies, and a cut one is refused before its head is sent: 502 with an unknown outcome, or another target where the request may be repeated. The refusal of a cut response now says that the target had the call; without that, a retry would have counted against neither the attempts nor the budget.

--- a/packages/node/src/calls/executor.test.ts
+++ b/packages/node/src/calls/executor.test.ts
@@ -126,6 +126,16 @@
   t.like(refused[0]!.refusal, unknownOutcome('bad-answer', 'the target\'s response was cut off: cut'))
 })
 
+// Guards against a call that is sent to further targets without a limit, because the refusal of its cut-off response does not say that a
+// target had it.
+for (const unframed of [false, true]) {
+  test(`the refusal of a cut-off response ${unframed ? 'without' : 'with'} a length says that the target had the call`, async (t) => {
+    const body = { read: () => Promise.reject(new Error('cut')), takeRest: () => undefined }
+    const { refused } = await runCall({ reply: headReply({ unframed, body }) })
+    t.true(refused[0]!.report.reachedTarget)
+  })
+}
+
 // Guards against a call that its caller cancelled being reported as a lost target, without the time that it spent at the target.
 test('a call cancelled by its caller is reported with the time that it spent at the target', async (t) => {
   const { refused } = await runCall({ heldMs: 397 })
--- a/packages/node/src/calls/forward-response.ts
+++ b/packages/node/src/calls/forward-response.ts
@@ -5,6 +5,7 @@
 import type { IncomingCall } from '../links/incoming-call.js'
 import type { CallReport, ResponseHead } from '../links/messages.js'
 import type { TargetReply } from '../target/target-client.js'
+import { createHeldBody } from './held-body.js'
 
 /** How a response ended: a cut one was refused after its head had possibly been forwarded. */
 export type ResponseEnd = 'complete' | 'cut'
@@ -24,19 +25,34 @@
   try {
     if (guardedRun !== undefined) {
       await recordResponse(transfer, guardedRun)
+    } else if (reply.unframed) {
+      await forwardUnframed(transfer)
     } else {
-      call.respond({ status: reply.status, headers: reply.headers, ...(reply.unframed ? { unframed: true } : {}) })
+      call.respond({ status: reply.status, headers: reply.headers })
       await pipeBody(call, reply.body)
     }
     call.end(report())
     return 'complete'
   } catch (err) {
     // The caller must not take the part that it has received for a complete response.
-    refuse(call, unknownOutcome('bad-answer', `the target's response was cut off: ${err instanceof Error ? err.message : String(err)}`), report())
+    refuse(call, unknownOutcome('bad-answer', `the target's response was cut off: ${err instanceof Error ? err.message : String(err)}`), { ...report(), reachedTarget: true })
     return 'cut'
   }
 }
 
+/** Holds a response without a length until its end has been checked, so that one which is cut can be refused, and sent again elsewhere. */
+async function forwardUnframed ({ call, reply }: ResponseTransfer): Promise<void> {
+  const held = createHeldBody()
+  try {
+    const isWhole = await held.hold(reply.body)
+    call.respond({ status: reply.status, headers: reply.headers, unframed: true })
+    for (const chunk of held.chunks()) await call.write(chunk)
+    if (!isWhole) await pipeBody(call, reply.body)
+  } finally {
+    held.release()
+  }
+}
+
 async function pipeBody (call: IncomingCall, body: Pick<ByteQueue, 'read' | 'takeRest'>): Promise<void> {
   // Most responses are small and arrive whole.
   const whole = body.takeRest()
--- a/packages/node/src/calls/held-body.ts
+++ b/packages/node/src/calls/held-body.ts
@@ -8,8 +8,8 @@
 
 /** The body of a response that is held until it is whole. */
 export type HeldBody = {
-  /** Reads a body to its end; undefined once it is too large to be held, and the rest has to be read from the queue. */
-  readWhole: (body: Pick<ByteQueue, 'read'>) => Promise<Uint8Array | undefined>
+  /** Reads a body to its end; false once it is too large to be held, and the rest has to be read from the queue. */
+  hold: (body: Pick<ByteQueue, 'read'>) => Promise<boolean>
   /** What was read so far. */
   chunks: () => Uint8Array[]
   /** Has to be called once the body is no longer needed. */
@@ -21,15 +21,15 @@
   const chunks: Uint8Array[] = []
   let bytes = 0
   return {
-    readWhole: async (body) => {
+    hold: async (body) => {
       while (bytes <= HELD_BODY_BYTES && allHeldBytes <= ALL_HELD_BYTES) {
         const chunk = await body.read()
-        if (chunk === undefined) return chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks)
+        if (chunk === undefined) return true
         chunks.push(chunk)
         bytes += chunk.length
         allHeldBytes += chunk.length
       }
-      return undefined
+      return false
     },
     chunks: () => chunks,
     release: () => {
--- a/packages/node/src/calls/response-writer.ts
+++ b/packages/node/src/calls/response-writer.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { headerValue, HEADERS, REFUSALS, toProblem, type Refusal } from '@orioleslip/core'
-import type { ByteQueue } from '../links/byte-queue.js'
+import { joinChunks, type ByteQueue } from '../links/byte-queue.js'
 import type { ResponseHead } from '../links/messages.js'
 import type { CallFinish } from '../links/outgoing-call.js'
 import { createHeldBody } from './held-body.js'
@@ -57,7 +57,7 @@
   const endsWithConnection = hasNoFraming(res, head)
   const held = endsWithConnection ? createHeldBody() : undefined
   try {
-    const whole = body.takeRest() ?? await held?.readWhole(body)
+    const whole = body.takeRest() ?? (held !== undefined && await held.hold(body) ? joinChunks(held.chunks()) : undefined)
     if (whole === undefined) {
       res.writeHead(head.status, headers)
       for (const chunk of held?.chunks() ?? []) res.write(chunk)
--- a/packages/node/src/links/byte-queue.ts
+++ b/packages/node/src/links/byte-queue.ts
@@ -61,7 +61,7 @@
     }),
     takeRest: () => {
       if (state.kind !== 'ended') return undefined
-      const rest = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks)
+      const rest = joinChunks(chunks)
       chunks.length = 0
       bytes = 0
       if (rest.length > 0) onRead(rest.length)
@@ -71,13 +71,18 @@
   }
 }
 
+/** Joins chunks; a single one is not copied. */
+export function joinChunks (chunks: readonly Uint8Array[]): Uint8Array {
+  return chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks)
+}
+
 /** Reads a complete body into memory; returns undefined if it is longer than `limitBytes`. */
 export async function readAll (queue: Pick<ByteQueue, 'read'>, limitBytes: number): Promise<Uint8Array | undefined> {
   const chunks: Uint8Array[] = []
   let bytes = 0
   for (;;) {
     const chunk = await queue.read()
-    if (chunk === undefined) return chunks.length === 1 ? chunks[0] : Buffer.concat(chunks)
+    if (chunk === undefined) return joinChunks(chunks)
     bytes += chunk.length
     if (bytes > limitBytes) return undefined
     chunks.push(chunk)
--- a/packages/node/src/target/ended-target.test.ts
+++ b/packages/node/src/target/ended-target.test.ts
@@ -16,7 +16,7 @@
     const cut = [call('cut-1'), call('cut-2')]
     await systemClock.sleep(50)
     endProcess()
-    for (const result of await Promise.all(cut)) t.like(result, { kind: 'refused', refusal: { code: 'bad-answer', outcome: 'unknown' } })
+    for (const result of await Promise.all(cut)) t.like(result, { kind: 'refused', status: undefined, refusal: { code: 'bad-answer', outcome: 'unknown' } })
   })
 }
 
