Hold a small response until it is whole, so that a cut one does not end its client's connection

Change: the node beside the target holds a response of up to 64 KiB until it is whole, one in chunks for at most 100 ms, and refuses a cut one before its head is sent. The client of the entry node gets a 502 in its place, or the answer of another server. Evidence: cut-response.test.ts (4 cases) and cut-answers.test.ts of platform failed before and pass now. Checks changed: the test in call-path.test.ts that a small cut response breaks the caller's connection asked for the old way of telling the caller. It holds for responses of which a part was forwarded, with a length of 1 MB and in chunks; small ones have a test of their own, which asks for 502 and an unknown outcome.

--- a/packages/node/src/calls/forward-response.ts
+++ b/packages/node/src/calls/forward-response.ts
@@ -1,4 +1,4 @@
-import { unknownOutcome, type Refusal } from '@orioleslip/core'
+import { headerValue, unknownOutcome, type Refusal } from '@orioleslip/core'
 import type { GuardedRun } from '../idempotency/idempotency-guard.js'
 import { createResponseRecorder, STORED_RESPONSE_BODY_BYTES } from '../idempotency/response-recorder.js'
 import type { ByteQueue } from '../links/byte-queue.js'
@@ -19,6 +19,11 @@
   refuse: (call: IncomingCall, refusal: Refusal, report: CallReport) => void
 }
 
+/** Largest response with a length or chunks that is held until it is whole, in bytes; less than the window of a call. */
+const HELD_FRAMED_BYTES = 64 * 1024
+/** Longest time for which a response in chunks is held, in ms: its target may go on writing it for long. */
+const HELD_CHUNKS_MS = 100
+
 /** Forwards a response to the caller; a recorded one is held back until its run has been recorded. */
 export async function forwardResponse (transfer: ResponseTransfer): Promise<ResponseEnd> {
   const { call, guardedRun, reply, report, refuse } = transfer
@@ -28,8 +33,7 @@
     } else if (reply.unframed) {
       await forwardUnframed(transfer)
     } else {
-      call.respond({ status: reply.status, headers: reply.headers })
-      await pipeBody(call, reply.body)
+      await forwardFramed(transfer)
     }
     call.end(report())
     return 'complete'
@@ -53,16 +57,49 @@
   }
 }
 
-async function pipeBody (call: IncomingCall, body: Pick<ByteQueue, 'read' | 'takeRest'>): Promise<void> {
+/** Holds a small response for a while, since only the end of its connection tells the caller of a cut once the head has been sent. */
+async function forwardFramed ({ call, reply }: ResponseTransfer): Promise<void> {
+  const head: ResponseHead = { status: reply.status, headers: reply.headers }
   // Most responses are small and arrive whole.
-  const whole = body.takeRest()
+  const whole = reply.body.takeRest()
   if (whole !== undefined) {
+    call.respond(head)
     if (whole.length > 0) await call.write(whole)
     return
   }
-  for (;;) {
-    const chunk = await body.read()
-    if (chunk === undefined) return
+  const length = headerValue(reply.headers, 'content-length')
+  if (Number(length ?? 0) > HELD_FRAMED_BYTES) {
+    call.respond(head)
+    return await pipeBody(call, reply.body)
+  }
+  const held: Uint8Array[] = []
+  let heldBytes = 0
+  let isHeld = true
+  const release = () => {
+    if (!isHeld) return
+    isHeld = false
+    call.respond(head)
+    for (const chunk of held) call.write(chunk)
+  }
+  const timer = length === undefined ? setTimeout(release, HELD_CHUNKS_MS) : undefined
+  try {
+    for (let chunk = await reply.body.read(); chunk !== undefined; chunk = await reply.body.read()) {
+      if (!isHeld) {
+        await call.write(chunk)
+        continue
+      }
+      held.push(chunk)
+      heldBytes += chunk.length
+      if (heldBytes > HELD_FRAMED_BYTES) release()
+    }
+    release()
+  } finally {
+    clearTimeout(timer)
+  }
+}
+
+async function pipeBody (call: IncomingCall, body: Pick<ByteQueue, 'read'>): Promise<void> {
+  for (let chunk = await body.read(); chunk !== undefined; chunk = await body.read()) {
     const wait = call.write(chunk)
     if (wait !== undefined) await wait
   }
