--- a/packages/node/src/calls/request-end.ts
+++ b/packages/node/src/calls/request-end.ts
@@ -20,8 +20,8 @@
 }
 
 /**
- * Ends the connection of a request whose body still arrives: body bytes behind its close would reset it, and with it what the client has not
- * read of the response. They are discarded until the client closes its side.
+ * Ends the connection of a request whose body still arrives. Body bytes behind its close would reset it, and the client would lose what it
+ * has not read of the response; they are discarded until the client closes its side.
  */
 function closeWhileReceiving (req: IncomingMessage): void {
   req.socket.end()
