--- a/packages/node/src/target/response-handler.ts
+++ b/packages/node/src/target/response-handler.ts
@@ -18,6 +18,7 @@
   longestGapMs: (sinceMs: number) => number
 }
 
+/** Receives the connection of a call, see `ConnectedDispatchOptions`. */
 export type OnDispatch = ConnectedDispatchOptions['onDispatch']
 
 /** Number of response bytes buffered for a slow reader before the target's socket is paused. */
--- a/packages/node/src/target/target-client.ts
+++ b/packages/node/src/target/target-client.ts
@@ -53,7 +53,7 @@
   | { kind: 'foreign' }
 
 export type TargetClientOptions = {
-  /** Accepts responses without framing, which end with their connection; only a reset then shows that one is incomplete. */
+  /** Accepts responses without framing, which end with their connection; see `createResponseEndCheck`. */
   acceptUnframed?: boolean
   /** Name, in lower case, of the header that targets copy from a call into its response; copies of responses are recognised by it. */
   idHeader?: string
