Keep closed spans and the ids of recent calls in one kind of set

createRecentIds of this change wrote again what inbound-calls.ts did for closed spans: a set that drops its oldest id beyond a limit. It moves to net/, and inbound-calls calls it.

--- a/packages/node/src/calls/inbound-calls.ts
+++ b/packages/node/src/calls/inbound-calls.ts
@@ -1,5 +1,6 @@
 import { newSpanId, type CancelSignal, type RequestContext } from '@orioleslip/core'
 import type { CallReport } from '../links/messages.js'
+import { createRecentIds } from '../net/recent-ids.js'
 
 /** A call that the local target is executing; calls that the target makes meanwhile are its child calls. */
 export type InboundCall = {
@@ -43,7 +44,7 @@
 export function createInboundCalls (nowMs: () => number): InboundCalls {
   const bySpan = new Map<string, InboundCall>()
   const byTrace = new Map<string, InboundCall[]>()
-  const closed = new Set<string>()
+  const closed = createRecentIds(CLOSED_SPANS_LIMIT)
 
   const removeFromTrace = (call: InboundCall) => {
     const siblings = byTrace.get(call.root.traceId)?.filter((other) => other !== call) ?? []
@@ -85,10 +86,6 @@
       if (!bySpan.delete(call.spanId)) return
       removeFromTrace(call)
       closed.add(call.spanId)
-      if (closed.size > CLOSED_SPANS_LIMIT) {
-        const oldest = closed.values().next()
-        if (oldest.done !== true) closed.delete(oldest.value)
-      }
     },
     bySpan: (traceId, spanId) => {
       const call = bySpan.get(spanId)
--- a/packages/node/src/target/recent-ids.ts
+++ b/packages/node/src/net/recent-ids.ts
@@ -1,4 +1,4 @@
-/** Ids of the calls that were sent last. */
+/** The ids that were added last. */
 export type RecentIds = { add: (id: string) => void, has: (id: string) => boolean }
 
 /** Creates an empty set that keeps the last `limit` ids. */
--- a/packages/node/src/target/copy-detection.ts
+++ b/packages/node/src/target/copy-detection.ts
@@ -1,6 +1,6 @@
 import { headerValue } from '@orioleslip/core'
+import { createRecentIds } from '../net/recent-ids.js'
 import { createCopyScanner, type CopyScanner } from './copy-scanner.js'
-import { createRecentIds } from './recent-ids.js'
 
 /** Recognises copies of responses that a target writes into the bodies of others. */
 export type CopyDetection = {
