Hold the start of a response in one place

The held part is written without a wait for credit, as forwardFramed did; both limits are below the window of a call. No other change of behaviour.

--- a/packages/node/src/calls/forward-response.ts
+++ b/packages/node/src/calls/forward-response.ts
@@ -6,6 +6,7 @@
 import type { CallReport, ResponseHead } from '../links/messages.js'
 import type { TargetReply } from '../target/target-client.js'
 import { createHeldBody } from './held-body.js'
+import { createHeldResponse } from './held-response.js'
 
 /** How a response ended: a cut one was refused after its head had possibly been forwarded. */
 export type ResponseEnd = 'complete' | 'cut'
@@ -72,33 +73,17 @@
     call.respond(head)
     return await pipeBody(call, reply.body)
   }
-  const held: Uint8Array[] = []
-  let heldBytes = 0
-  let isHeld = true
-  const release = () => {
-    if (!isHeld) return
-    isHeld = false
-    call.respond(head)
-    for (const chunk of held) call.write(chunk)
-  }
-  const timer = length === undefined ? setTimeout(release, HELD_CHUNKS_MS) : undefined
+  const held = createHeldResponse(call, head, HELD_FRAMED_BYTES)
+  const timer = length === undefined ? setTimeout(held.release, HELD_CHUNKS_MS) : undefined
   try {
-    for (let chunk = await reply.body.read(); chunk !== undefined; chunk = await reply.body.read()) {
-      if (!isHeld) {
-        await call.write(chunk)
-        continue
-      }
-      held.push(chunk)
-      heldBytes += chunk.length
-      if (heldBytes > HELD_FRAMED_BYTES) release()
-    }
-    release()
+    await pipeBody(held, reply.body)
+    held.release()
   } finally {
     clearTimeout(timer)
   }
 }
 
-async function pipeBody (call: IncomingCall, body: Pick<ByteQueue, 'read'>): Promise<void> {
+async function pipeBody (call: Pick<IncomingCall, 'write'>, body: Pick<ByteQueue, 'read'>): Promise<void> {
   for (let chunk = await body.read(); chunk !== undefined; chunk = await body.read()) {
     const wait = call.write(chunk)
     if (wait !== undefined) await wait
@@ -109,28 +94,13 @@
 async function recordResponse ({ call, reply }: ResponseTransfer, guardedRun: GuardedRun): Promise<void> {
   const head: ResponseHead = { status: reply.status, headers: reply.headers }
   const recorder = createResponseRecorder(reply.status, reply.headers)
-  const buffered: Uint8Array[] = []
-  let bufferedBytes = 0
-  let streaming = false
-  for (;;) {
-    const chunk = await reply.body.read()
-    if (chunk === undefined) break
+  const held = createHeldResponse(call, head, STORED_RESPONSE_BODY_BYTES)
+  for (let chunk = await reply.body.read(); chunk !== undefined; chunk = await reply.body.read()) {
     recorder.add(chunk)
-    if (streaming) {
-      await call.write(chunk)
-      continue
-    }
-    buffered.push(chunk)
-    bufferedBytes += chunk.length
-    if (bufferedBytes <= STORED_RESPONSE_BODY_BYTES) continue
-    streaming = true
-    call.respond(head)
-    for (const part of buffered) await call.write(part)
+    await held.write(chunk)
   }
   // Records the run before the response ends, so that a caller that received the complete response gets the same one for a resend.
   // While the key register is unreachable this resolves after 1 s, and the run is recorded in the background.
   await guardedRun.finished(recorder.done())
-  if (streaming) return
-  call.respond(head)
-  for (const part of buffered) await call.write(part)
+  held.release()
 }
