Log connections of callers that end with requests that got no whole response

Change: the event connection-ended with the number and ids of the requests and whether a response of this node closed the connection. No decision changes. The options of the caller server are an object now. Tests: caller-connections.test.ts.

--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -1,5 +1,5 @@
 import {
-  createRequestVerifier, systemClock, systemRandom,
+  createRequestVerifier, HEADERS, systemClock, systemRandom,
   type Clock, type PeerAddress, type Random, type Settings
 } from '@orioleslip/core'
 import { toAuthority } from '@orioleslip/control/client'
@@ -34,6 +34,7 @@
 import { createRouter } from './routing/router.js'
 import { startCallerServer } from './server/caller-server.js'
 import { createAvailability } from './server/drain.js'
+import { logUnanswered } from './server/log-unanswered.js'
 import { createPlannedStop } from './server/planned-stop.js'
 import { createWellKnown } from './server/well-known.js'
 import { createLocalTarget } from './target/local-target.js'
@@ -148,7 +149,10 @@
       inFlight: inbound.size()
     })
   })
-  const server = await startCallerServer({ host: vm.address, port: cfg.callerPort }, handler.handle, wellKnown, availability.stopping)
+  const server = await startCallerServer({ host: vm.address, port: cfg.callerPort }, handler.handle, wellKnown, {
+    stopping: availability.stopping,
+    onUnanswered: (end) => logUnanswered(log, end, HEADERS.traceparent)
+  })
   const stopTicks = startGateTicks(gate)
   const gaugeTimer = setInterval(() => reportGauges(metrics, gate.load()), GAUGE_INTERVAL_MS)
   members.start()
--- a/packages/node/src/routes/routed-node.ts
+++ b/packages/node/src/routes/routed-node.ts
@@ -22,6 +22,7 @@
 import type { RunningNode } from '../node.js'
 import { createRouter } from '../routing/router.js'
 import { startCallerServer } from '../server/caller-server.js'
+import { logUnanswered } from '../server/log-unanswered.js'
 import { createAvailability } from '../server/drain.js'
 import { createPlannedStop } from '../server/planned-stop.js'
 import { createLocalTarget, type Announcement } from '../target/local-target.js'
@@ -149,7 +150,11 @@
   })
   const limits = () => ({ idleTimeoutMs: poller.current()?.limits.idleTimeoutMs ?? DEFAULT_IDLE_TIMEOUT_MS })
   const callerAddress = { host: vm.address, port: cfg.callerPort }
-  const server = await startCallerServer(callerAddress, handler.handle, handler.handle, availability.stopping, limits)
+  const server = await startCallerServer(callerAddress, handler.handle, handler.handle, {
+    stopping: availability.stopping,
+    limits,
+    onUnanswered: (end) => logUnanswered(log, end, names.requestId)
+  })
   const stopTicks = startGateTicks(gate)
   const gaugeTimer = setInterval(() => reportGauges(metrics, gate.load()), GAUGE_INTERVAL_MS)
   members.start()
--- a/packages/node/src/server/caller-server.test.ts
+++ b/packages/node/src/server/caller-server.test.ts
@@ -21,7 +21,7 @@
     res.writeHead(503, ['content-length', '0'])
     res.end()
   }
-  const server = await startCallerServer({ host, port: 0 }, handle, handle, () => stopping)
+  const server = await startCallerServer({ host, port: 0 }, handle, handle, { stopping: () => stopping })
   const agent = new Agent({ keepAlive: true })
   t.is((await get(server.port, agent)).headers.connection, 'keep-alive')
   stopping = true
@@ -42,7 +42,7 @@
     res.writeHead(503, ['content-length', '0'])
     res.end()
   }
-  const server = await startCallerServer({ host, port: 0 }, handle, handle, () => true)
+  const server = await startCallerServer({ host, port: 0 }, handle, handle, { stopping: () => true })
   const open = get(server.port, new Agent({ keepAlive: true }))
   await atServer
   const drained = server.drain()
--- a/packages/node/src/server/caller-server.ts
+++ b/packages/node/src/server/caller-server.ts
@@ -1,6 +1,7 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
 import { WELL_KNOWN_PREFIX, type PeerAddress } from '@orioleslip/core'
 import { listen } from '../net/listen.js'
+import { createCallerConnections, type UnansweredEnd } from './caller-connections.js'
 
 export type RequestListener = (req: IncomingMessage, res: ServerResponse) => Promise<void>
 
@@ -15,25 +16,34 @@
 /** Limits on caller connections, read for each request. */
 export type CallerLimits = { idleTimeoutMs: number }
 
+export type CallerServerOptions = {
+  /** While it returns true every response closes its connection, refusals included; false by default. */
+  stopping?: () => boolean
+  limits?: () => CallerLimits
+  /** Called for each connection that ends before each of its requests got a whole response. */
+  onUnanswered?: (end: UnansweredEnd) => void
+}
+
 /** Longer than most clients keep idle connections, so that the client closes first. */
 const KEEP_ALIVE_MS = 65_000
 const HEADERS_TIMEOUT_MS = 10_000
 const MAX_HEADER_BYTES = 64 * 1024
 
 /**
- * Serves callers and the local target; rejects if the port can't be opened. While `stopping` is true every response closes its connection,
- * refusals included: a client that keeps its connection until the process exits loses the request that it sends at that moment.
+ * Serves callers and the local target; rejects if the port can't be opened. A client that keeps its connection to a stopping node until the
+ * process exits loses the request that it sends at that moment, so that each response of a stopping node closes its connection.
  */
 export async function startCallerServer (
-  address: PeerAddress, onCall: RequestListener, onWellKnown: RequestListener, stopping: () => boolean = () => false,
-  limits: () => CallerLimits = () => ({ idleTimeoutMs: KEEP_ALIVE_MS })
+  address: PeerAddress, onCall: RequestListener, onWellKnown: RequestListener, options: CallerServerOptions = {}
 ): Promise<CallerServer> {
-  const listener = (req: IncomingMessage, res: ServerResponse) => {
+  const { stopping = () => false, limits = () => ({ idleTimeoutMs: KEEP_ALIVE_MS }), onUnanswered = () => {} } = options
+  const connections = createCallerConnections(onUnanswered)
+  const listener = (req: IncomingMessage, res: ServerResponse) => connections.handle(req, res, () => {
     if (stopping()) res.shouldKeepAlive = false
     server.keepAliveTimeout = limits().idleTimeoutMs
     const handle = req.url?.startsWith(WELL_KNOWN_PREFIX) === true ? onWellKnown : onCall
     handle(req, res).catch(() => res.destroy())
-  }
+  })
   const server = createServer({
     keepAliveTimeout: limits().idleTimeoutMs,
     maxHeaderSize: MAX_HEADER_BYTES,
