Handle the requests of a connection one after the other

Callers saw: of requests that a client sends before an earlier one is answered, those behind an answer that ends the connection (without a length, broken off midway, the first one of a planned stop) ran at a server and got no answer; after a client had left, the ones behind its first request were still sent to servers. Cause: Node.js hands out all requests of a connection at once and writes their responses in turn. A response that ends the connection drops the later ones, and only the first one's handler learns that the client has left. One that is not handled has not been passed on, so that its client may send it again. A connection is not read further while 32 requests wait, or one with a body. Without processes: caller-connections.test.ts.

--- a/packages/node/src/calls/call-handler.ts
+++ b/packages/node/src/calls/call-handler.ts
@@ -10,7 +10,7 @@
 import { startDeadline, type CallDeadline } from './call-deadline.js'
 import { endRequest } from './request-end.js'
 import type { DecisionRecords } from './decision-records.js'
-import { bodyMissing, newTrace, parseRequest, receiveBody, type ParsedRequest } from './entry-request.js'
+import { bodyMissing, deadlinePassed, newTrace, parseRequest, receiveBody, type ParsedRequest } from './entry-request.js'
 import type { AttemptRecord, Forwarder, ForwardRequest, ForwardResult } from './forwarder.js'
 import type { InboundCall, InboundCalls } from './inbound-calls.js'
 import type { NodeStats } from './node-stats.js'
@@ -120,8 +120,8 @@
     return notRun('rate-exceeded', `customer "${customer}" is over ${plan.ratePerSecond} requests per second`, verdict.retryAfterS)
   }
 
-  const deadlineOf = (parsed: ParsedRequest, admitted: Admitted): CallDeadline => {
-    const wanted = parsed.timeoutMs ?? admitted.op?.timeoutMs ?? UNLISTED_TIMEOUT_MS
+  const deadlineOf = (parsed: ParsedRequest, admitted: Admitted, waitedMs: number): CallDeadline => {
+    const wanted = (parsed.timeoutMs ?? admitted.op?.timeoutMs ?? UNLISTED_TIMEOUT_MS) - waitedMs
     if (admitted.origin.kind === 'entry') return startDeadline(wanted, clock.nowMs)
     const { parent } = admitted.origin
     return startDeadline(Math.min(wanted, parent.deadlineMs - clock.nowMs()), clock.nowMs, parent.signal)
@@ -134,6 +134,7 @@
     if (admitted.claimKey !== undefined && (parsed.bodyBytes ?? 0) > HASHED_BODY_LIMIT_BYTES) {
       return refuse(req, res, root.requestId, notRun('body-too-large', `the body has ${parsed.bodyBytes} bytes; at most ${HASHED_BODY_LIMIT_BYTES} are allowed`), [], 0)
     }
+    if (deadline.remainingMs() <= 0) return refuse(req, res, root.requestId, deadlinePassed(), [], 0)
     const limit = admitted.claimKey === undefined ? BUFFERED_BODY_LIMIT_BYTES : HASHED_BODY_LIMIT_BYTES
     const body = await receiveBody(req, parsed.bodyBytes, deadline.signal, limit)
     if (body === undefined) return refuse(req, res, root.requestId, bodyMissing(), [], 0)
@@ -246,8 +247,8 @@
     })
   }
 
-  const handleRequest = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
-    const startedMs = clock.nowMs()
+  const handleRequest = async (req: IncomingMessage, res: ServerResponse, waitedMs: number): Promise<void> => {
+    const startedMs = clock.nowMs() - waitedMs
     const parsed = parseRequest(req)
     if (parsed.isErr()) return writeRefusal(req, res, parsed.error, newTraceId())
     const decided = await admit(parsed.value)
@@ -257,7 +258,7 @@
       return writeRefusal(req, res, decided.error.refusal, requestId)
     }
     const admitted = decided.value
-    const deadline = deadlineOf(parsed.value, admitted)
+    const deadline = deadlineOf(parsed.value, admitted, waitedMs)
     res.on('close', () => { if (!res.writableFinished) deadline.cancel() })
     const { origin } = admitted
     const { root, kind } = origin
--- a/packages/node/src/calls/entry-request.ts
+++ b/packages/node/src/calls/entry-request.ts
@@ -107,6 +107,11 @@
   return notRun('deadline-exceeded', 'the deadline passed, or the caller left, before the body of the request had arrived')
 }
 
+/** Refusal of a request whose deadline passed while it waited behind others of its connection. */
+export function deadlinePassed (): Refusal {
+  return notRun('deadline-exceeded', 'the deadline passed before the earlier requests of the connection had been answered')
+}
+
 async function readBody (req: IncomingMessage, lengthBytes: number | undefined, limitBytes: number): Promise<RequestBody> {
   const read = createReader(req)
   const chunks: Uint8Array[] = []
--- a/packages/node/src/routes/route-handler.ts
+++ b/packages/node/src/routes/route-handler.ts
@@ -7,7 +7,7 @@
 import { writeRefusal, writeResponse } from '../calls/response-writer.js'
 import { startDeadline, type CallDeadline } from '../calls/call-deadline.js'
 import { endRequest } from '../calls/request-end.js'
-import { bodyLength, bodyMissing, bufferBody } from '../calls/entry-request.js'
+import { bodyLength, bodyMissing, bufferBody, deadlinePassed } from '../calls/entry-request.js'
 import { NO_REPORT, type AttemptRecord, type Forwarder, type ForwardResult } from '../calls/forwarder.js'
 import { countOpenRequests, type CountedHandler } from '../calls/open-requests.js'
 import { withoutSetHeaders, type CallHeaderNames } from './call-headers.js'
@@ -92,6 +92,7 @@
     req: IncomingMessage, admitted: Admitted, root: RequestContext, service: string, deadline: CallDeadline
   ): Promise<ForwardResult> => {
     const { route } = admitted
+    if (deadline.remainingMs() <= 0) return { kind: 'refused', refusal: deadlinePassed(), attempts: [], report: NO_REPORT }
     const body = await bufferBody(req, admitted.bodyBytes, deadline.signal, BUFFERED_BODY_BYTES)
     if (body === undefined) return { kind: 'refused', refusal: bodyMissing(), attempts: [], report: NO_REPORT }
     options.budget.firstSent(service)
@@ -133,8 +134,8 @@
     return refuse(req, res, requestId, refusal, result.attempts)
   }
 
-  const handleRequest = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
-    const startedMs = clock.nowMs()
+  const handleRequest = async (req: IncomingMessage, res: ServerResponse, waitedMs: number): Promise<void> => {
+    const startedMs = clock.nowMs() - waitedMs
     const requestId = headerValue(req.rawHeaders, names.requestId) ?? newTraceId()
     const admitted = admit(req, requestId)
     const report = (ended: Ended, routeFields: Pick<RequestSummary, 'route' | 'service' | 'revision' | 'priority'>) =>
@@ -143,7 +144,7 @@
       return report(refuse(req, res, requestId, admitted.error, []), { route: '', service: '', revision: routes()?.revision ?? 0, priority: 0 })
     }
     const { route, revision, deadlineMs } = admitted.value
-    const deadline = startDeadline(deadlineMs, clock.nowMs)
+    const deadline = startDeadline(deadlineMs - waitedMs, clock.nowMs)
     res.on('close', () => { if (!res.writableFinished) deadline.cancel() })
     const root = requestContextOf(admitted.value)
     const service = options.chooseDestination(route)
--- a/packages/node/src/server/caller-connections.test.ts
+++ b/packages/node/src/server/caller-connections.test.ts
@@ -12,8 +12,11 @@
 async function startServer (t: ExecutionContext, options: CallerServerOptions = {}) {
   const requests = new Map<string, ServerResponse>()
   const started: string[] = []
-  const handle = async (req: IncomingMessage, res: ServerResponse) => {
+  const waited: number[] = []
+  const handle = async (req: IncomingMessage, res: ServerResponse, waitedMs: number) => {
     started.push(req.url!)
+    waited.push(waitedMs)
+    req.resume()
     requests.set(req.url!, res)
   }
   const server = await startCallerServer({ host, port: 0 }, handle, handle, options)
@@ -28,7 +31,7 @@
     return server.drain()
   })
   const answer = (path: string) => requests.get(path)!.writeHead(200, ['content-length', String(path.length)]).end(path)
-  return { socket, started, answer, received: () => text }
+  return { socket, started, waited, answer, received: () => text }
 }
 
 const get = (...paths: string[]) => paths.map((path) => `GET ${path} HTTP/1.1\r\nhost: x\r\n\r\n`).join('')
@@ -64,3 +67,74 @@
   await closed(socket)
   t.deepEqual(ends, [])
 })
+
+// Guards against a request that runs although its response can't be sent any more, because an earlier one closes the connection.
+test('a request behind a response that closes the connection is not handled', async (t) => {
+  const ends: UnansweredEnd[] = []
+  const { socket, started, answer, received } = await startServer(t, { stopping: () => true, onUnanswered: (end) => ends.push(end) })
+  socket.write(get('/a', '/b', '/c'))
+  await until(t, () => started.length === 1)
+  answer('/a')
+  await closed(socket)
+  t.true(received().endsWith('/a'))
+  t.deepEqual(started, ['/a'])
+  t.deepEqual(ends.map(({ unanswered, unread, byResponse }) => [unanswered.length, unread, byResponse]), [[0, 2, true]])
+})
+
+// Guards against requests that are passed on although their client has left.
+test('a request behind the one that is open when the client leaves is not handled', async (t) => {
+  const ends: UnansweredEnd[] = []
+  const { socket, started } = await startServer(t, { onUnanswered: (end) => ends.push(end) })
+  socket.write(get('/a', '/b'))
+  await until(t, () => started.length === 1)
+  socket.destroy()
+  await until(t, () => ends.length === 1)
+  t.deepEqual([started, ends[0]!.unanswered.length, ends[0]!.unread], [['/a'], 1, 1])
+})
+
+test('requests on one connection are handled in turn, and each learns for how long it has waited', async (t) => {
+  const { socket, started, waited, answer, received } = await startServer(t)
+  const body = 'b'.repeat(200_000)
+  socket.write(`${get('/a')}PUT /b HTTP/1.1\r\nhost: x\r\ncontent-length: ${body.length}\r\n\r\n${body}${get('/c')}`)
+  await until(t, () => started.length === 1)
+  await new Promise((resolve) => setTimeout(resolve, 100))
+  for (const path of ['/a', '/b', '/c']) {
+    await until(t, () => started.at(-1) === path)
+    answer(path)
+  }
+  await until(t, () => received().endsWith('/c'))
+  t.deepEqual(started, ['/a', '/b', '/c'])
+  t.is(waited[0], 0)
+  t.true(waited[1]! >= 90)
+})
+
+/** Requests that one read of a connection contains at most. */
+const MAX_READ_REQUESTS = 64 * 1024 / get('/0').length + 1
+
+// Guards against a node whose memory fills with requests that wait for the first one of their connection.
+test('a connection with many waiting requests is not read further', async (t) => {
+  const ends: UnansweredEnd[] = []
+  const { socket, started, answer } = await startServer(t, { onUnanswered: (end) => ends.push(end) })
+  socket.write(get(...Array.from({ length: 20_000 }, (_, i) => `/${i}`)))
+  await until(t, () => started.length === 1)
+  await new Promise((resolve) => setTimeout(resolve, 200))
+  socket.destroy()
+  // The node finds the end of the connection when it writes or reads again.
+  for (let i = 0; ends.length === 0; i++) {
+    await until(t, () => started.length > i || ends.length > 0)
+    if (ends.length === 0) answer(`/${i}`)
+  }
+  t.true(ends[0]!.unread < MAX_READ_REQUESTS, `${ends[0]!.unread} requests were read`)
+})
+
+test('all of many requests on one connection are answered', async (t) => {
+  const { socket, started, answer, received } = await startServer(t)
+  const paths = Array.from({ length: 3000 }, (_, i) => `/${i}`)
+  socket.write(get(...paths))
+  for (const [i, path] of paths.entries()) {
+    while (started.length <= i) await new Promise((resolve) => setImmediate(resolve))
+    answer(path)
+  }
+  await until(t, () => received().endsWith('/2999'))
+  t.deepEqual(started, paths)
+})
--- a/packages/node/src/server/caller-connections.ts
+++ b/packages/node/src/server/caller-connections.ts
@@ -1,47 +1,101 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
+import type { Clock } from '@orioleslip/core'
 
 /** A caller's connection that has ended before each of its requests got a whole response. */
 export type UnansweredEnd = {
   /** Requests that were handled, and may have been passed on, without a whole response. */
   unanswered: IncomingMessage[]
+  /** Number of further requests, which were not handled. */
+  unread: number
   /** True if this node closed the connection with a response, false if the caller or the network did. */
   byResponse: boolean
 }
 
-/** Follows the requests of callers' connections. */
+/** Orders the requests of callers' connections. */
 export type CallerConnections = {
-  /** Handles a request of a connection. */
-  handle: (req: IncomingMessage, res: ServerResponse, handler: () => void) => void
+  /** Calls `handler` when the earlier requests of the connection have been answered, with the time that this one has waited, in ms. */
+  handle: (req: IncomingMessage, res: ServerResponse, handler: (waitedMs: number) => void) => void
 }
 
-type Connection = { open: Set<IncomingMessage>, byResponse: boolean }
+/** Number of requests that wait on one connection before no more are read from it. */
+const MAX_WAITING_REQUESTS = 32
 
-/** Creates the registry; `onUnanswered` is called for each connection that ends with requests without a whole response. */
-export function createCallerConnections (onUnanswered: (end: UnansweredEnd) => void): CallerConnections {
+type Connection = {
+  open: Set<IncomingMessage>
+  waiting: number
+  /** True if the last waiting request has a body, of which nothing is read before its turn. */
+  hasWaitingBody: boolean
+  isPaused: boolean
+  byResponse: boolean
+}
+
+/**
+ * Creates the registry. The requests of a connection are handled one after the other: a response may have to end the connection, and then a
+ * request behind it that has been passed on runs without a response, while one that has not can be sent again. `onUnanswered` is called for
+ * each connection that ends with requests without a whole response.
+ */
+export function createCallerConnections (clock: Clock, onUnanswered: (end: UnansweredEnd) => void): CallerConnections {
   const connections = new WeakMap<Socket, Connection>()
 
   const connectionOf = (socket: Socket): Connection => {
     const known = connections.get(socket)
     if (known !== undefined) return known
-    const connection: Connection = { open: new Set(), byResponse: false }
+    const connection: Connection = { open: new Set(), waiting: 0, hasWaitingBody: false, isPaused: false, byResponse: false }
     connections.set(socket, connection)
     socket.once('close', () => {
-      const { open, byResponse } = connection
-      if (open.size > 0) onUnanswered({ unanswered: [...open], byResponse })
+      const { open, waiting, byResponse } = connection
+      if (open.size + waiting > 0) onUnanswered({ unanswered: [...open], unread: waiting, byResponse })
     })
     return connection
   }
 
+  const limitReading = (socket: Socket, connection: Connection): void => {
+    const isFull = connection.waiting > MAX_WAITING_REQUESTS || connection.hasWaitingBody
+    if (!isFull) {
+      if (connection.isPaused) socket.resume()
+      connection.isPaused = false
+    } else if (!connection.isPaused) {
+      connection.isPaused = true
+      socket.pause()
+    }
+  }
+  // At the end of a request Node.js resumes its socket, in the next tick.
+  const limitReadingAfterResume = (socket: Socket, connection: Connection): void => {
+    connection.isPaused = false
+    process.nextTick(() => process.nextTick(limitReading, socket, connection))
+  }
+
+  const start = (connection: Connection, req: IncomingMessage, res: ServerResponse, handler: () => void): void => {
+    connection.open.add(req)
+    res.once('finish', () => {
+      connection.open.delete(req)
+      connection.byResponse = !res.shouldKeepAlive
+    })
+    handler()
+  }
+
   return {
     handle: (req, res, handler) => {
-      const connection = connectionOf(req.socket)
-      connection.open.add(req)
-      res.once('finish', () => {
-        connection.open.delete(req)
-        connection.byResponse = !res.shouldKeepAlive
+      const { socket } = req
+      const connection = connectionOf(socket)
+      // Node.js assigns the socket to one response after the other.
+      if (res.socket !== null) return start(connection, req, res, () => handler(0))
+      const arrivedMs = clock.nowMs()
+      connection.waiting++
+      connection.hasWaitingBody = hasBody(req)
+      limitReadingAfterResume(socket, connection)
+      res.once('socket', () => {
+        connection.waiting--
+        if (connection.waiting === 0) connection.hasWaitingBody = false
+        limitReading(socket, connection)
+        // The response is only ready to be written once the listeners of this event have returned.
+        queueMicrotask(() => start(connection, req, res, () => handler(clock.nowMs() - arrivedMs)))
       })
-      handler()
     }
   }
 }
+
+function hasBody ({ headers }: IncomingMessage): boolean {
+  return headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0
+}
--- a/packages/node/src/server/caller-server.ts
+++ b/packages/node/src/server/caller-server.ts
@@ -1,9 +1,10 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
-import { WELL_KNOWN_PREFIX, type PeerAddress } from '@orioleslip/core'
+import { systemClock, WELL_KNOWN_PREFIX, type Clock, type PeerAddress } from '@orioleslip/core'
 import { listen } from '../net/listen.js'
 import { createCallerConnections, type UnansweredEnd } from './caller-connections.js'
 
-export type RequestListener = (req: IncomingMessage, res: ServerResponse) => Promise<void>
+/** Handles a request that has waited for `waitedMs` behind earlier ones of its connection. */
+export type RequestListener = (req: IncomingMessage, res: ServerResponse, waitedMs: number) => Promise<void>
 
 export type CallerServer = {
   port: number
@@ -22,6 +23,7 @@
   limits?: () => CallerLimits
   /** Called for each connection that ends before each of its requests got a whole response. */
   onUnanswered?: (end: UnansweredEnd) => void
+  clock?: Clock
 }
 
 /** Longer than most clients keep idle connections, so that the client closes first. */
@@ -36,13 +38,14 @@
 export async function startCallerServer (
   address: PeerAddress, onCall: RequestListener, onWellKnown: RequestListener, options: CallerServerOptions = {}
 ): Promise<CallerServer> {
-  const { stopping = () => false, limits = () => ({ idleTimeoutMs: KEEP_ALIVE_MS }), onUnanswered = () => {} } = options
-  const connections = createCallerConnections(onUnanswered)
-  const listener = (req: IncomingMessage, res: ServerResponse) => connections.handle(req, res, () => {
+  const { stopping = () => false, limits = () => ({ idleTimeoutMs: KEEP_ALIVE_MS }) } = options
+  const { onUnanswered = () => {}, clock = systemClock } = options
+  const connections = createCallerConnections(clock, onUnanswered)
+  const listener = (req: IncomingMessage, res: ServerResponse) => connections.handle(req, res, (waitedMs) => {
     if (stopping()) res.shouldKeepAlive = false
     server.keepAliveTimeout = limits().idleTimeoutMs
     const handle = req.url?.startsWith(WELL_KNOWN_PREFIX) === true ? onWellKnown : onCall
-    handle(req, res).catch(() => res.destroy())
+    handle(req, res, waitedMs).catch(() => res.destroy())
   })
   const server = createServer({
     keepAliveTimeout: limits().idleTimeoutMs,
