Answer the requests before malformed bytes before these are refused

Callers saw: a sound request was answered with 400 or 431, though it had been passed on and ran, because bytes behind it on the connection were no request, or a head over 64 KiB. Cause: Node.js refuses a parser error at once, in the place of the response that is due, and destroys the connection. Change: the refusal is written once the requests before it have been answered; when the malformed bytes are the body of a waiting request, in its turn. A client that closes its side meanwhile has left. The clients of a lone malformed request get the same status as before.

--- a/packages/node/src/server/caller-connections.test.ts
+++ b/packages/node/src/server/caller-connections.test.ts
@@ -138,3 +138,46 @@
   await until(t, () => received().endsWith('/2999'))
   t.deepEqual(started, paths)
 })
+
+const MALFORMED = [
+  ['bytes that are no request', 'this is no request\r\n\r\n', 400],
+  ['a head that is too large', `GET / HTTP/1.1\r\nhost: x\r\nx-filler: ${'f'.repeat(70_000)}\r\n\r\n`, 431],
+  ['a body in malformed chunks', 'PUT /c HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n', 400]
+] as const
+
+const statusesIn = (text: string) => [...text.matchAll(/HTTP\/1\.1 (\d+)/g)].map(([, status]) => Number(status))
+
+// Guards against a refusal of malformed bytes that the client takes for the response to an earlier request, which is being handled.
+for (const [name, bytes, status] of MALFORMED) {
+  test(`${name} behind other requests: these are answered first`, async (t) => {
+    const { socket, started, answer, received } = await startServer(t)
+    const ended = closed(socket)
+    socket.write(get('/a', '/b') + bytes)
+    for (const path of ['/a', '/b']) {
+      await until(t, () => started.at(-1) === path)
+      await new Promise((resolve) => setTimeout(resolve, 50))
+      t.deepEqual(statusesIn(received()), path === '/a' ? [] : [200])
+      answer(path)
+    }
+    await ended
+    t.deepEqual(statusesIn(received()), [200, 200, status])
+  })
+
+  test(`${name} without other requests: refused at once`, async (t) => {
+    const { socket, received } = await startServer(t)
+    const ended = closed(socket)
+    socket.write(bytes)
+    await ended
+    t.deepEqual(statusesIn(received()), [status])
+  })
+}
+
+test('a client that leaves behind malformed bytes ends its open request', async (t) => {
+  const ends: UnansweredEnd[] = []
+  const { socket, started } = await startServer(t, { onUnanswered: (end) => ends.push(end) })
+  socket.write(`${get('/a')}this is no request\r\n\r\n`)
+  await until(t, () => started.length === 1)
+  socket.end()
+  await until(t, () => ends.length === 1)
+  t.is(ends[0]!.unanswered.length, 1)
+})
--- a/packages/node/src/server/caller-connections.ts
+++ b/packages/node/src/server/caller-connections.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Clock } from '@orioleslip/core'
+import { closeWithRefusal } from './malformed-bytes.js'
 
 /** A caller's connection that has ended before each of its requests got a whole response. */
 export type UnansweredEnd = {
@@ -16,6 +17,8 @@
 export type CallerConnections = {
   /** Calls `handler` when the earlier requests of the connection have been answered, with the time that this one has waited, in ms. */
   handle: (req: IncomingMessage, res: ServerResponse, handler: (waitedMs: number) => void) => void
+  /** Ends a connection whose next bytes are no request, once the requests before them have been answered. */
+  refuseMalformed: (err: NodeJS.ErrnoException, socket: Socket) => void
 }
 
 /** Number of requests that wait on one connection before no more are read from it. */
@@ -28,6 +31,10 @@
   hasWaitingBody: boolean
   isPaused: boolean
   byResponse: boolean
+  /** The request that arrived last. */
+  last: { req: IncomingMessage, res: ServerResponse } | undefined
+  /** Refuses what came behind the last request, or its own body; set once the bytes are malformed. */
+  refuse: (() => void) | undefined
 }
 
 /**
@@ -41,7 +48,9 @@
   const connectionOf = (socket: Socket): Connection => {
     const known = connections.get(socket)
     if (known !== undefined) return known
-    const connection: Connection = { open: new Set(), waiting: 0, hasWaitingBody: false, isPaused: false, byResponse: false }
+    const connection: Connection = {
+      open: new Set(), waiting: 0, hasWaitingBody: false, isPaused: false, byResponse: false, last: undefined, refuse: undefined
+    }
     connections.set(socket, connection)
     socket.once('close', () => {
       const { open, waiting, byResponse } = connection
@@ -79,6 +88,7 @@
     handle: (req, res, handler) => {
       const { socket } = req
       const connection = connectionOf(socket)
+      connection.last = { req, res }
       // Node.js assigns the socket to one response after the other.
       if (res.socket !== null) return start(connection, req, res, () => handler(0))
       const arrivedMs = clock.nowMs()
@@ -90,8 +100,25 @@
         if (connection.waiting === 0) connection.hasWaitingBody = false
         limitReading(socket, connection)
         // The response is only ready to be written once the listeners of this event have returned.
-        queueMicrotask(() => start(connection, req, res, () => handler(clock.nowMs() - arrivedMs)))
+        queueMicrotask(() => {
+          if (connection.refuse !== undefined && !req.complete) return connection.refuse()
+          start(connection, req, res, () => handler(clock.nowMs() - arrivedMs))
+        })
       })
+    },
+    refuseMalformed: (err, socket) => {
+      const connection = connectionOf(socket)
+      // Node.js reports each further read.
+      if (connection.refuse !== undefined) return
+      const { last } = connection
+      const refuse = () => closeWithRefusal(socket, err, last?.res)
+      connection.refuse = refuse
+      if (last === undefined || last.res.writableFinished) return refuse()
+      // A client that closes its side has left.
+      if (socket.readableEnded) return socket.destroy()
+      socket.once('end', () => socket.destroy())
+      if (last.req.complete) last.res.once('finish', refuse)
+      else if (last.res.socket !== null) refuse()
     }
   }
 }
--- a/packages/node/src/server/caller-server.ts
+++ b/packages/node/src/server/caller-server.ts
@@ -1,4 +1,5 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
 import { systemClock, WELL_KNOWN_PREFIX, type Clock, type PeerAddress } from '@orioleslip/core'
 import { listen } from '../net/listen.js'
 import { createCallerConnections, type UnansweredEnd } from './caller-connections.js'
@@ -55,6 +56,7 @@
     requestTimeout: 0,
     noDelay: true
   }, listener)
+  server.on('clientError', (err, socket) => connections.refuseMalformed(err, socket as Socket))
   const port = await listen(server, address)
   return {
     port,
