Refuse a response that is cut off before its first byte instead of closing its connection

Callers saw: no byte, not even a 504, when a server stalled or broke off between the head and the first byte of a large or chunked body, or in a body without a length; the connection was closed, with the requests behind it. Cause: the entry node counted a response as begun once its head was known, though Node.js sends the head with the first chunk. Change: the head is written with the first chunk, and a response that is cut before is refused (502 or 504, outcome unknown).

--- a/packages/node/src/calls/attempt-result.ts
+++ b/packages/node/src/calls/attempt-result.ts
@@ -4,6 +4,7 @@
 import type { ByteQueue } from '../links/byte-queue.js'
 import type { ResponseHead } from '../links/messages.js'
 import type { CallFinish, CallReply, OutgoingCall } from '../links/outgoing-call.js'
+import type { CallDeadline } from './call-deadline.js'
 import type { ForwardRequest } from './forwarder.js'
 
 /** Result of one attempt at one VM. */
@@ -53,6 +54,15 @@
   }
 }
 
+/** Returns the refusal of a request of whose response the caller has received nothing before it was cut off; the call has run. */
+export function refusalOfCut (finish: Exclude<CallFinish, { kind: 'complete' }>, deadline: Pick<CallDeadline, 'expired'>): Refusal {
+  switch (finish.kind) {
+    case 'aborted': return unknownOutcome(finish.refusal.code, finish.refusal.detail)
+    case 'lost': return unknownOutcome('target-lost', finish.message)
+    case 'cancelled': return cancelledRefusal({ deadline })
+  }
+}
+
 /** True for refusals caused by a fault of the target or node, false for deliberate ones. */
 function isFault (refusal: Refusal): boolean {
   return refusal.code === 'target-lost' || refusal.code === 'bad-answer' || refusal.code === 'internal-error'
@@ -68,8 +78,8 @@
 }
 
 /** Returns the refusal of a call that its caller or its deadline ended after it had been sent. */
-export function cancelledRefusal (req: ForwardRequest): Refusal {
-  return req.deadline.expired()
+export function cancelledRefusal ({ deadline }: { deadline: Pick<CallDeadline, 'expired'> }): Refusal {
+  return deadline.expired()
     ? unknownOutcome('deadline-exceeded', 'the deadline passed after the call was sent to a target')
     : unknownOutcome('target-lost', 'the caller disconnected after the call was sent to a target')
 }
--- a/packages/node/src/calls/call-handler.ts
+++ b/packages/node/src/calls/call-handler.ts
@@ -7,6 +7,7 @@
 import { err, ok, type Result } from 'neverthrow'
 import type { LostCall, LostCallVerdict } from '../idempotency/lost-call.js'
 import { writeRefusal, writeResponse } from './response-writer.js'
+import { refusalOfCut } from './attempt-result.js'
 import { startDeadline, type CallDeadline } from './call-deadline.js'
 import { endRequest } from './request-end.js'
 import type { DecisionRecords } from './decision-records.js'
@@ -162,6 +163,9 @@
         const report = result.settle(finish)
         applyReport(admitted, report)
         const complete = finish.kind === 'complete'
+        if (!complete && !res.headersSent) {
+          return refuse(req, res, root.requestId, refusalOfCut(finish, deadline), result.attempts, report.regionBytes)
+        }
         return {
           status: result.head.status,
           outcome: complete ? 'complete' : 'unknown',
--- a/packages/node/src/calls/response-writer.test.ts
+++ b/packages/node/src/calls/response-writer.test.ts
@@ -1,10 +1,11 @@
 import { once } from 'node:events'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { connect } from 'node:net'
-import { notRun } from '@orioleslip/core'
+import { notRun, unknownOutcome } from '@orioleslip/core'
 import test from 'ava'
+import { createByteQueue } from '../links/byte-queue.js'
 import { startCallerServer } from '../server/caller-server.js'
-import { writeRefusal } from './response-writer.js'
+import { writeRefusal, writeResponse } from './response-writer.js'
 
 const host = '127.0.0.1'
 const BODY_BYTES = 1_000_000
@@ -28,3 +29,34 @@
   await once(socket, 'close')
   await server.drain()
 })
+
+// Guards against a client that gets no byte, not even a failure, when a response is cut off before the first byte of its body.
+test('a response whose body is cut off before its first byte is left to be refused, and the connection stays open', async (t) => {
+  const body = createByteQueue(() => {})
+  const respond = async (req: IncomingMessage, res: ServerResponse) => {
+    if (req.url === '/next') {
+      res.writeHead(200, ['content-length', '0']).end()
+      return
+    }
+    const refusal = unknownOutcome('bad-answer', 'the response was cut off')
+    const end = await writeResponse(res, { status: 200, headers: [], unframed: req.url === '/unframed' }, body, Promise.resolve({
+      kind: 'aborted', refusal, report: { pathLevel: 0, regionBytes: 0 }
+    }), [])
+    t.is(end.kind, 'aborted')
+    t.false(res.headersSent)
+    writeRefusal(req, res, refusal, 'id')
+  }
+  const server = await startCallerServer({ host, port: 0 }, respond, respond)
+  body.fail(new Error('cut off'))
+  for (const path of ['/chunked', '/unframed']) {
+    const socket = connect(server.port, host)
+    let text = ''
+    socket.on('data', (chunk) => { text += chunk.toString() })
+    socket.write([path, '/next'].map((each) => `GET ${each} HTTP/1.1\r\nhost: x\r\n\r\n`).join(''))
+    while (!text.includes('HTTP/1.1 200')) await once(socket, 'data', { signal: AbortSignal.timeout(5000) })
+    t.regex(text, /^HTTP\/1\.1 502 /)
+    socket.destroy()
+  }
+  server.abort()
+  await server.drain()
+})
--- a/packages/node/src/calls/response-writer.ts
+++ b/packages/node/src/calls/response-writer.ts
@@ -42,25 +42,22 @@
 
 /**
  * Forwards a target's response to the caller. If the response is cut off, the caller's connection is destroyed, so that the part already
- * sent can't pass for a complete response. A response that ends with the caller's connection is held until it is whole: the kernel ends the
+ * sent can't pass for a complete response; a response of which nothing has been sent is left to be refused. A response that ends with the caller's connection is held until it is whole: the kernel ends the
  * connections of a process that is killed in order, so that the part already sent would look complete.
  */
 export async function writeResponse (
   res: ServerResponse, head: ResponseHead, body: ByteQueue, finish: Promise<CallFinish>, extraHeaders: string[]
 ): Promise<CallFinish> {
-  // Framing would mark a response without framing as complete, although a crash of the target may have cut it off.
-  if (head.unframed === true) {
-    res.useChunkedEncodingByDefault = false
-    res.shouldKeepAlive = false
-  }
   const headers = extraHeaders.length === 0 ? head.headers : [...head.headers, ...extraHeaders]
   const endsWithConnection = hasNoFraming(res, head)
   const held = endsWithConnection ? createHeldBody() : undefined
   try {
     const whole = body.takeRest() ?? (held !== undefined && await held.hold(body) ? joinChunks(held.chunks()) : undefined)
     if (whole === undefined) {
-      res.writeHead(head.status, headers)
-      for (const chunk of held?.chunks() ?? []) res.write(chunk)
+      // The head waits for the first chunk, so that a response that is cut off before it can be refused.
+      const first = held?.chunks() ?? [await body.read()]
+      writeHead(res, head, headers)
+      for (const chunk of first) if (chunk !== undefined) res.write(chunk)
       await pipeBody(res, body)
     }
     const end = await finish
@@ -70,7 +67,7 @@
       res.end()
     } else {
       const hasKnownEnd = endsWithConnection && head.unframed !== true
-      res.writeHead(head.status, hasKnownEnd ? [...headers, 'content-length', String(whole.length)] : headers)
+      writeHead(res, head, hasKnownEnd ? [...headers, 'content-length', String(whole.length)] : headers)
       res.end(whole)
     }
     return end
@@ -82,6 +79,15 @@
   }
 }
 
+function writeHead (res: ServerResponse, { status, unframed }: ResponseHead, headers: string[]): void {
+  // Framing would mark a response without framing as complete, although a crash of the target may have cut it off.
+  if (unframed === true) {
+    res.useChunkedEncodingByDefault = false
+    res.shouldKeepAlive = false
+  }
+  res.writeHead(status, headers)
+}
+
 async function pipeBody (res: ServerResponse, body: ByteQueue): Promise<void> {
   for (;;) {
     const chunk = await body.read()
@@ -91,13 +97,14 @@
 }
 
 /** True if the response has neither a length nor chunks, for example because its caller speaks HTTP/1.0. */
-function hasNoFraming (res: ServerResponse, { status, headers }: ResponseHead): boolean {
+function hasNoFraming (res: ServerResponse, { status, headers, unframed }: ResponseHead): boolean {
   const hasBody = res.req.method !== 'HEAD' && status !== 204 && status !== 304
-  return hasBody && !res.useChunkedEncodingByDefault && headerValue(headers, 'content-length') === undefined
+  return hasBody && (unframed === true || !res.useChunkedEncodingByDefault) && headerValue(headers, 'content-length') === undefined
 }
 
-/** Aborts a response. Where it would end with its connection, only a TCP reset shows the caller that it is incomplete. */
+/** Aborts a response that has begun. Where it would end with its connection, only a TCP reset shows the caller that it is incomplete. */
 function abortResponse (res: ServerResponse, endsWithConnection: boolean): void {
+  if (!res.headersSent) return
   if (endsWithConnection) res.socket?.resetAndDestroy()
   res.destroy()
 }
--- a/packages/node/src/routes/route-handler.ts
+++ b/packages/node/src/routes/route-handler.ts
@@ -5,6 +5,7 @@
 } from '@orioleslip/core'
 import { err, ok, type Result } from 'neverthrow'
 import { writeRefusal, writeResponse } from '../calls/response-writer.js'
+import { refusalOfCut } from '../calls/attempt-result.js'
 import { startDeadline, type CallDeadline } from '../calls/call-deadline.js'
 import { endRequest } from '../calls/request-end.js'
 import { bodyLength, bodyMissing, bufferBody, deadlinePassed } from '../calls/entry-request.js'
@@ -117,12 +118,15 @@
     })
   }
 
-  const respond = async (req: IncomingMessage, res: ServerResponse, requestId: string, work: Promise<ForwardResult>): Promise<Ended> => {
+  const respond = async (
+    req: IncomingMessage, res: ServerResponse, requestId: string, deadline: CallDeadline, work: Promise<ForwardResult>
+  ): Promise<Ended> => {
     const result = await work
     if (result.kind === 'answer') {
       const finish = await writeResponse(res, result.head, result.body, result.finish, [])
       result.settle(finish)
       const complete = finish.kind === 'complete'
+      if (!complete && !res.headersSent) return refuse(req, res, requestId, refusalOfCut(finish, deadline), result.attempts)
       return {
         status: result.head.status,
         outcome: complete ? 'complete' : 'unknown',
@@ -150,7 +154,7 @@
     const service = options.chooseDestination(route)
     let ended: Ended
     try {
-      ended = await respond(req, res, requestId, forward(req, admitted.value, root, service, deadline))
+      ended = await respond(req, res, requestId, deadline, forward(req, admitted.value, root, service, deadline))
     } catch (cause) {
       ended = refuse(req, res, requestId, unknownOutcome('internal-error', cause instanceof Error ? cause.message : String(cause)), [])
     }
