Refuse a response that stalls until its deadline with deadline-exceeded

Callers saw: 502 or 504 for a response that stalls in its body, by which of two timers ran out first. Cause: the node beside the target called each response that it could not forward whole malformed, also when its own deadline had ended it. Change: the refusal has the code deadline-exceeded then, as for a target that sends no head.

--- a/packages/node/src/calls/executor.ts
+++ b/packages/node/src/calls/executor.ts
@@ -216,7 +216,8 @@
       releaseClaim(guardedRun)
       return refuseCall(call, check.refusal, { ...reportOf(self), reachedTarget: true })
     }
-    const end = await forwardResponse({ call, guardedRun, reply, report: () => reportOf(self), refuse: refuseCall })
+    const { signal } = deadline
+    const end = await forwardResponse({ call, guardedRun, reply, signal, report: () => reportOf(self), refuse: refuseCall })
     if (reply.unframed) onUnframed(call, { ...reply.transfer(), end, latencyMs: latencyMs() })
     if (end === 'complete') crashes.completed(running, head.service)
     else lost(running, deadline)
--- a/packages/node/src/calls/response-writer.ts
+++ b/packages/node/src/calls/response-writer.ts
@@ -41,9 +41,10 @@
 }
 
 /**
- * Forwards a target's response to the caller. If the response is cut off, the caller's connection is destroyed, so that the part already
- * sent can't pass for a complete response; a response of which nothing has been sent is left to be refused. A response that ends with the caller's connection is held until it is whole: the kernel ends the
- * connections of a process that is killed in order, so that the part already sent would look complete.
+ * Forwards a target's response to the caller. If it is cut off, the caller's connection is destroyed, so that the part already sent can't
+ * pass for a complete response; a response of which nothing has been sent is left to be refused. A response that ends with the caller's
+ * connection is held until it is whole: the kernel ends the connections of a process that is killed in order, so that the part already sent
+ * would look complete.
  */
 export async function writeResponse (
   res: ServerResponse, head: ResponseHead, body: ByteQueue, finish: Promise<CallFinish>, extraHeaders: string[]
--- a/packages/node/src/target/cut-response.test.ts
+++ b/packages/node/src/target/cut-response.test.ts
@@ -39,3 +39,9 @@
   })
   t.like(await call('a'), { kind: 'refused', status: 200 })
 })
+
+// Guards against a response that stalls until its deadline and is reported as malformed.
+test('a response that stalls until the deadline is refused because of the deadline', async (t) => {
+  const { call } = await startFaultyTarget(t, (socket) => { socket.write(FRAMED) })
+  t.like(await call('a'), { kind: 'refused', status: undefined, refusal: { code: 'deadline-exceeded', outcome: 'unknown' } })
+})
