Join small chunks of bodies, so that what is kept of a body costs a small multiple of its bytes

Cause: queues, held bodies, windows and frames are limited by the bytes of a body, but each chunk is kept, and sent to the peer, as an object of hundreds of bytes; Node.js hands out each chunk of a request for itself, in a tick of its own. Change: one list for body bytes copies small chunks together (queues, held responses and bodies, recorded responses, frames that arrive in parts, buffered requests), and a request's body is read in one piece per turn of the event loop. No limit on the size of chunks: small ones are legal.

--- /dev/null
+++ b/packages/core/src/memory/chunk-batch.ts
@@ -0,0 +1,34 @@
+import { createChunkList } from './chunk-list.js'
+
+/** Joins small chunks that arrive in one turn of the event loop, so that whoever gets them does its work once for all. */
+export type ChunkBatch = {
+  add: (chunk: Uint8Array) => void
+  /** Passes on what has been added, for example because the body has ended. */
+  flush: () => void
+  /** Number of bytes that have not been passed on. */
+  size: () => number
+}
+
+/** Chunks of at least this size, in bytes, are passed on at once if none wait. */
+const LARGE_CHUNK_BYTES = 1024
+
+/** Creates an empty batch; `pass` gets its bytes in order, one call a turn at least while chunks arrive. */
+export function createChunkBatch (pass: (chunk: Uint8Array) => void): ChunkBatch {
+  const waiting = createChunkList()
+  let timer: NodeJS.Immediate | undefined
+  const flush = () => {
+    if (timer === undefined) return
+    clearImmediate(timer)
+    timer = undefined
+    pass(waiting.takeAll())
+  }
+  return {
+    add: (chunk) => {
+      if (timer === undefined && chunk.length >= LARGE_CHUNK_BYTES) return pass(chunk)
+      waiting.push(chunk)
+      timer ??= setImmediate(flush)
+    },
+    flush,
+    size: waiting.size
+  }
+}
--- a/packages/node/src/calls/entry-request.ts
+++ b/packages/node/src/calls/entry-request.ts
@@ -1,10 +1,12 @@
 import type { IncomingMessage } from 'node:http'
 import {
-  endToEndHeaders, headerValue, HEADERS, newTraceId, notRun, parseTraceParent, type CancelSignal, type Refusal, type TraceParent
+  createChunkList, endToEndHeaders, headerValue, HEADERS, newTraceId, notRun, parseTraceParent,
+  type CancelSignal, type Refusal, type TraceParent
 } from '@orioleslip/core'
 import { err, ok, type Result } from 'neverthrow'
 import { parseIdempotencyKey } from '../idempotency/idempotency-key.js'
 import { BUFFERED_BODY_LIMIT_BYTES, type RequestBody } from './request-body.js'
+import { createRequestReader } from './request-reader.js'
 import { untilAborted } from './until-aborted.js'
 
 /** Fields of an HTTP request from a caller or from the local target. */
@@ -86,7 +88,7 @@
 ): Promise<RequestBody | undefined> {
   if (lengthBytes === 0) return { kind: 'none' }
   if (lengthBytes === undefined || lengthBytes > bufferLimitBytes) {
-    return { kind: 'stream', read: createReader(req), ...(lengthBytes === undefined ? {} : { lengthBytes }) }
+    return { kind: 'stream', read: createRequestReader(req), ...(lengthBytes === undefined ? {} : { lengthBytes }) }
   }
   return await bufferBody(req, lengthBytes, signal, bufferLimitBytes)
 }
@@ -113,28 +115,13 @@
 }
 
 async function readBody (req: IncomingMessage, lengthBytes: number | undefined, limitBytes: number): Promise<RequestBody> {
-  const read = createReader(req)
-  const chunks: Uint8Array[] = []
-  let bytes = 0
-  while (bytes <= limitBytes) {
+  const read = createRequestReader(req)
+  const chunks = createChunkList()
+  while (chunks.size() <= limitBytes) {
     const chunk = await read()
-    if (chunk === undefined) return { kind: 'buffered', bytes: chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks) }
+    if (chunk === undefined) return { kind: 'buffered', bytes: chunks.takeAll() }
     chunks.push(chunk)
-    bytes += chunk.length
   }
   const readRest = async () => chunks.shift() ?? await read()
   return { kind: 'stream', read: readRest, ...(lengthBytes === undefined ? {} : { lengthBytes }) }
 }
-
-/** Returns a function that reads the body chunk by chunk; it rejects if the caller disconnects before the end of the body. */
-function createReader (req: IncomingMessage): () => Promise<Uint8Array | undefined> {
-  const iterator = req[Symbol.asyncIterator]() as AsyncIterator<Uint8Array>
-  return async () => {
-    const next = await iterator.next()
-    if (next.done === true) {
-      if (!req.complete) throw new Error('the caller closed the connection in the middle of the body')
-      return undefined
-    }
-    return next.value
-  }
-}
--- a/packages/node/src/calls/forward-response.ts
+++ b/packages/node/src/calls/forward-response.ts
@@ -54,7 +54,7 @@
   try {
     const isWhole = await held.hold(reply.body)
     call.respond({ status: reply.status, headers: reply.headers, unframed: true })
-    for (const chunk of held.chunks()) await call.write(chunk)
+    for (let chunk = held.chunks.shift(); chunk !== undefined; chunk = held.chunks.shift()) await call.write(chunk)
     if (!isWhole) await pipeBody(call, reply.body)
   } finally {
     held.release()
--- a/packages/node/src/calls/held-body.ts
+++ b/packages/node/src/calls/held-body.ts
@@ -1,3 +1,4 @@
+import { createChunkList, type ChunkList } from '@orioleslip/core'
 import type { ByteQueue } from '../links/byte-queue.js'
 
 /** Largest body that is held, and all held bodies of a process together, in bytes. */
@@ -11,14 +12,14 @@
   /** Reads a body to its end; false once it is too large to be held, and the rest has to be read from the queue. */
   hold: (body: Pick<ByteQueue, 'read'>) => Promise<boolean>
   /** What was read so far. */
-  chunks: () => Uint8Array[]
+  chunks: Pick<ChunkList, 'shift' | 'takeAll'>
   /** Has to be called once the body is no longer needed. */
   release: () => void
 }
 
 /** Creates an empty body; all bodies of the process share a limit. */
 export function createHeldBody (): HeldBody {
-  const chunks: Uint8Array[] = []
+  const chunks = createChunkList()
   let bytes = 0
   return {
     hold: async (body) => {
@@ -31,7 +32,7 @@
       }
       return false
     },
-    chunks: () => chunks,
+    chunks,
     release: () => {
       allHeldBytes -= bytes
       bytes = 0
--- a/packages/node/src/calls/held-response.ts
+++ b/packages/node/src/calls/held-response.ts
@@ -1,3 +1,4 @@
+import { createChunkList } from '@orioleslip/core'
 import type { IncomingCall } from '../links/incoming-call.js'
 import type { ResponseHead } from '../links/messages.js'
 
@@ -11,22 +12,19 @@
 
 /** Creates a response that holds at most `limitBytes`, which are less than the window of a call. */
 export function createHeldResponse (call: IncomingCall, head: ResponseHead, limitBytes: number): HeldResponse {
-  const chunks: Uint8Array[] = []
-  let bytes = 0
+  const chunks = createChunkList()
   let isReleased = false
   const release = () => {
     if (isReleased) return
     isReleased = true
     call.respond(head)
-    for (const chunk of chunks) call.write(chunk)
-    chunks.length = 0
+    if (!chunks.isEmpty()) call.write(chunks.takeAll())
   }
   return {
     write: (chunk) => {
       if (isReleased) return call.write(chunk)
       chunks.push(chunk)
-      bytes += chunk.length
-      if (bytes > limitBytes) release()
+      if (chunks.size() > limitBytes) release()
       return undefined
     },
     release
--- a/packages/node/src/calls/request-end.ts
+++ b/packages/node/src/calls/request-end.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { CallDeadline } from './call-deadline.js'
+import { discardRequestBody } from './request-reader.js'
 
 /** Longest time in which the client can read the rest of its response, in ms. */
 const LINGER_MS = 3000
@@ -25,7 +26,7 @@
  */
 function closeWhileReceiving (req: IncomingMessage): void {
   req.socket.end()
-  req.resume()
+  discardRequestBody(req)
   const timer = setTimeout(() => req.destroy(), LINGER_MS)
   req.once('close', () => clearTimeout(timer))
 }
--- /dev/null
+++ b/packages/node/src/calls/request-reader.test.ts
@@ -0,0 +1,54 @@
+import { once } from 'node:events'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { connect } from 'node:net'
+import test, { type ExecutionContext } from 'ava'
+import { startCallerServer } from '../server/caller-server.js'
+import { createRequestReader } from './request-reader.js'
+
+const host = '127.0.0.1'
+const BODY_BYTES = 100_000
+const HEAD = 'PUT /a/b HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n'
+
+/** Reads the body of the one request to a server; resolves with its pieces, and `cut` if it ended early. */
+async function readPieces (t: ExecutionContext, send: (write: (text: string) => void, end: () => void) => void) {
+  const pieces: number[] = []
+  let done: (result: 'whole' | 'cut') => void = () => {}
+  const ended = new Promise<'whole' | 'cut'>((resolve) => { done = resolve })
+  const handle = async (req: IncomingMessage, res: ServerResponse) => {
+    const read = createRequestReader(req)
+    try {
+      for (let piece = await read(); piece !== undefined; piece = await read()) pieces.push(piece.length)
+      done('whole')
+    } catch {
+      done('cut')
+    }
+    res.end()
+  }
+  const server = await startCallerServer({ host, port: 0 }, handle, handle)
+  const socket = connect(server.port, host)
+  await once(socket, 'connect')
+  socket.write(HEAD)
+  send((text) => socket.write(text), () => socket.destroy())
+  const result = await ended
+  socket.destroy()
+  server.abort()
+  await server.drain()
+  t.true(pieces.every((bytes) => bytes > 0))
+  return { result, bytes: pieces.reduce((sum, bytes) => sum + bytes, 0), pieces: pieces.length }
+}
+
+// Guards against a body that is handled byte by byte, each as an object of hundreds of bytes, because its chunks are small.
+test('chunks of one byte are joined', async (t) => {
+  const { result, bytes, pieces } = await readPieces(t, (write) => write(`${'1\r\na\r\n'.repeat(BODY_BYTES)}0\r\n\r\n`))
+  t.is(result, 'whole')
+  t.is(bytes, BODY_BYTES)
+  t.true(pieces < BODY_BYTES / 100, `${pieces} pieces`)
+})
+
+test('a body that its caller breaks off is not taken for whole', async (t) => {
+  const { result } = await readPieces(t, (write, end) => {
+    write('5\r\nhello\r\n')
+    setTimeout(end, 50)
+  })
+  t.is(result, 'cut')
+})
--- /dev/null
+++ b/packages/node/src/calls/request-reader.ts
@@ -0,0 +1,37 @@
+import type { IncomingMessage } from 'node:http'
+import { createChunkBatch } from '@orioleslip/core'
+import { createByteQueue } from '../links/byte-queue.js'
+
+/** Number of body bytes that are read ahead of the reader. */
+const READ_AHEAD_BYTES = 64 * 1024
+
+/**
+ * Returns a function that reads the body of a request piece by piece; it rejects if the caller disconnects before the end of the body.
+ * Node.js hands out each chunk for itself, and a body may consist of very small ones, so that those of one turn are joined.
+ */
+export function createRequestReader (req: IncomingMessage): () => Promise<Uint8Array | undefined> {
+  const queue = createByteQueue(() => { if (queue.size() < READ_AHEAD_BYTES / 2) req.resume() })
+  const batch = createChunkBatch(queue.push)
+  const end = () => {
+    batch.flush()
+    if (req.complete) queue.end()
+    else queue.fail(new Error('the caller closed the connection in the middle of the body'))
+  }
+  if (req.destroyed) {
+    end()
+    return queue.read
+  }
+  req.on('data', (chunk: Buffer) => {
+    batch.add(chunk)
+    if (queue.size() + batch.size() >= READ_AHEAD_BYTES) req.pause()
+  })
+  req.once('end', end)
+  req.once('close', end)
+  return queue.read
+}
+
+/** Discards the rest of a request's body while it arrives. */
+export function discardRequestBody (req: IncomingMessage): void {
+  req.removeAllListeners('data')
+  req.resume()
+}
--- a/packages/node/src/calls/response-writer.ts
+++ b/packages/node/src/calls/response-writer.ts
@@ -1,10 +1,11 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { headerValue, HEADERS, REFUSALS, toProblem, type Refusal } from '@orioleslip/core'
-import { joinChunks, type ByteQueue } from '../links/byte-queue.js'
+import type { ByteQueue } from '../links/byte-queue.js'
 import type { ResponseHead } from '../links/messages.js'
 import type { CallFinish } from '../links/outgoing-call.js'
 import { createHeldBody } from './held-body.js'
 import { BUFFERED_BODY_LIMIT_BYTES } from './request-body.js'
+import { discardRequestBody } from './request-reader.js'
 
 /** Longest time for which the rest of a refused request's body is read and discarded, in ms. */
 const LINGER_MS = 1000
@@ -37,7 +38,7 @@
   }
   const timer = setTimeout(end, LINGER_MS)
   req.once('close', end)
-  req.resume()
+  discardRequestBody(req)
 }
 
 /**
@@ -53,12 +54,12 @@
   const endsWithConnection = hasNoFraming(res, head)
   const held = endsWithConnection ? createHeldBody() : undefined
   try {
-    const whole = body.takeRest() ?? (held !== undefined && await held.hold(body) ? joinChunks(held.chunks()) : undefined)
+    const whole = body.takeRest() ?? (held !== undefined && await held.hold(body) ? held.chunks.takeAll() : undefined)
     if (whole === undefined) {
       // The head waits for the first chunk, so that a response that is cut off before it can be refused.
-      const first = held?.chunks() ?? [await body.read()]
+      const first = held?.chunks.takeAll() ?? await body.read()
       writeHead(res, head, headers)
-      for (const chunk of first) if (chunk !== undefined) res.write(chunk)
+      if (first !== undefined) res.write(first)
       await pipeBody(res, body)
     }
     const end = await finish
--- a/packages/node/src/idempotency/response-recorder.ts
+++ b/packages/node/src/idempotency/response-recorder.ts
@@ -1,5 +1,5 @@
 import { createHash } from 'node:crypto'
-import type { FinishedRun } from '@orioleslip/core'
+import { createChunkList, type ChunkList, type FinishedRun } from '@orioleslip/core'
 
 /** Largest response body that is recorded, in bytes; of larger ones only status and digest are recorded. */
 export const STORED_RESPONSE_BODY_BYTES = 16 * 1024
@@ -7,7 +7,7 @@
 /** Creates a recorder of a target's response while it streams to the caller; it buffers at most 16 KiB. */
 export function createResponseRecorder (status: number, headers: string[]) {
   const hash = createHash('sha256')
-  let chunks: Uint8Array[] | undefined = []
+  let chunks: ChunkList | undefined = createChunkList()
   let bytes = 0
   return {
     add: (chunk: Uint8Array) => {
@@ -20,7 +20,7 @@
     /** Returns the run to record; call it once, after the last byte of a complete response. */
     done: (): FinishedRun => {
       const run = { status, bodySha256: hash.digest('hex') }
-      return chunks === undefined ? run : { ...run, answer: { status, headers, body: Buffer.concat(chunks) } }
+      return chunks === undefined ? run : { ...run, answer: { status, headers, body: chunks.takeAll() } }
     }
   }
 }
--- a/packages/node/src/links/byte-queue.ts
+++ b/packages/node/src/links/byte-queue.ts
@@ -1,3 +1,5 @@
+import { createChunkList } from '@orioleslip/core'
+
 /** Queue of the received and not yet read chunks of one body. */
 export type ByteQueue = {
   push: (chunk: Uint8Array) => void
@@ -13,23 +15,19 @@
 
 /** Creates a queue; `onRead` is called with the length of each chunk that is read, so that the owner can return credit to the sender. */
 export function createByteQueue (onRead: (bytes: number) => void): ByteQueue {
-  const chunks: Uint8Array[] = []
-  let bytes = 0
+  const chunks = createChunkList()
   let state: { kind: 'open' } | { kind: 'ended' } | { kind: 'failed', err: Error } = { kind: 'open' }
   let pendingRead: { resolve: (chunk: Uint8Array | undefined) => void, reject: (err: Error) => void } | undefined
 
   const take = (): Uint8Array | undefined => {
     const chunk = chunks.shift()
-    if (chunk !== undefined) {
-      bytes -= chunk.length
-      onRead(chunk.length)
-    }
+    if (chunk !== undefined) onRead(chunk.length)
     return chunk
   }
   const settle = () => {
     if (pendingRead === undefined) return
     const { resolve, reject } = pendingRead
-    if (chunks.length > 0) {
+    if (!chunks.isEmpty()) {
       pendingRead = undefined
       resolve(take())
     } else if (state.kind === 'ended') {
@@ -44,7 +42,6 @@
     push: (chunk) => {
       if (state.kind !== 'open' || chunk.length === 0) return
       chunks.push(chunk)
-      bytes += chunk.length
       settle()
     },
     end: () => {
@@ -61,30 +58,21 @@
     }),
     takeRest: () => {
       if (state.kind !== 'ended') return undefined
-      const rest = joinChunks(chunks)
-      chunks.length = 0
-      bytes = 0
+      const rest = chunks.takeAll()
       if (rest.length > 0) onRead(rest.length)
       return rest
     },
-    size: () => bytes
+    size: chunks.size
   }
 }
 
-/** Joins chunks; a single one is not copied. */
-export function joinChunks (chunks: readonly Uint8Array[]): Uint8Array {
-  return chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks)
-}
-
 /** Reads a complete body into memory; returns undefined if it is longer than `limitBytes`. */
 export async function readAll (queue: Pick<ByteQueue, 'read'>, limitBytes: number): Promise<Uint8Array | undefined> {
-  const chunks: Uint8Array[] = []
-  let bytes = 0
+  const chunks = createChunkList()
   for (;;) {
     const chunk = await queue.read()
-    if (chunk === undefined) return joinChunks(chunks)
-    bytes += chunk.length
-    if (bytes > limitBytes) return undefined
+    if (chunk === undefined) return chunks.takeAll()
     chunks.push(chunk)
+    if (chunks.size() > limitBytes) return undefined
   }
 }
--- a/packages/node/src/links/frames.ts
+++ b/packages/node/src/links/frames.ts
@@ -1,3 +1,4 @@
+import { createChunkList } from '@orioleslip/core'
 import { Packr } from 'msgpackr'
 import { packHead, packReport, unpackHead, unpackReport, type CompactHead, type CompactRefusal, type CompactReport } from './compact.js'
 import type { ResponseHead, StreamMessage } from './messages.js'
@@ -85,8 +86,7 @@
 
 /** Creates a decoder that splits a byte stream into frames; it throws on an unknown type or a frame above the limit at that time. */
 export function createFrameDecoder (onFrame: (frame: Frame) => void, maxFrameBytes = () => MAX_FRAME_BYTES): (chunk: Buffer) => void {
-  let pending: Buffer[] = []
-  let pendingBytes = 0
+  const pending = createChunkList()
   let neededBytes = HEADER_BYTES
 
   const parse = (buf: Buffer): number => {
@@ -113,11 +113,10 @@
   }
   return (chunk) => {
     pending.push(chunk)
-    pendingBytes += chunk.length
-    if (pendingBytes < neededBytes) return
-    const buf = pending.length === 1 ? chunk : Buffer.concat(pending)
+    if (pending.size() < neededBytes) return
+    const { buffer, byteOffset, byteLength } = pending.takeAll()
+    const buf = Buffer.from(buffer, byteOffset, byteLength)
     const rest = buf.subarray(parse(buf))
-    pending = rest.length === 0 ? [] : [rest]
-    pendingBytes = rest.length
+    if (rest.length > 0) pending.push(rest)
   }
 }
