Give applications whole bodies, within a limit, however small their chunks are

Callers saw: a heartbeat without end ended the node beside its server, with all requests there; a configuration of 2 MB in chunks of one byte ended the control process. Cause: the same as for bodies of calls, in the other place where HTTP bodies are kept: the adapter of the application framework keeps each chunk as an object, and announcements and heartbeats had no limit at all.

--- a/packages/control/src/api/server.ts
+++ b/packages/control/src/api/server.ts
@@ -1,10 +1,9 @@
-import type { RequestVerifier } from '@orioleslip/core'
 import type { AddressInfo } from 'node:net'
-import type { Server } from 'node:http'
-import { serve } from '@hono/node-server'
+import { createServer, type Server } from 'node:http'
+import { getRequestListener } from '@hono/node-server'
+import { withWholeBodies, type BodyLimit, type RequestVerifier } from '@orioleslip/core'
 import { fetchRequestHandler } from '@trpc/server/adapters/fetch'
 import { Hono } from 'hono'
-import { bodyLimit } from 'hono/body-limit'
 import { err, ok, type Result } from 'neverthrow'
 import type { Logger } from 'pino'
 import type { RefusedChange } from './refused-change-log.js'
@@ -15,7 +14,7 @@
 export type ListenError = { kind: 'listenFailed', message: string }
 
 // Room for the largest lists and for a snapshot chunk of up to 4 MiB in base64.
-const MAX_BODY_BYTES = 8 * 1024 * 1024
+const BODY_LIMIT: BodyLimit = { maxBytes: 8 * 1024 * 1024, tooLarge: { type: 'text/plain', text: 'the body exceeds 8 MiB' } }
 // Exceeds the log's limit for a proposal (3 s), so that operators get the reply to an edit in progress.
 const CLOSE_TIMEOUT_MS = 4000
 const CLOSE_IDLE_INTERVAL_MS = 50
@@ -33,7 +32,6 @@
 }): Promise<Result<ApiServer, ListenError>> {
   const { address, authority, verify, recordRefusedChange, router, log } = options
   const app = new Hono()
-  app.use('/trpc/*', bodyLimit({ maxSize: MAX_BODY_BYTES, onError: (ctx) => ctx.text('the body exceeds 8 MiB', 413) }))
   app.all('/trpc/*', async (ctx) => {
     const { method, url, headers, signal } = ctx.req.raw
     const { pathname, search } = new URL(url)
@@ -54,7 +52,7 @@
   })
 
   return new Promise((resolve) => {
-    const server = serve({ fetch: app.fetch, hostname: address, port: options.port }) as Server
+    const server = createServer(withWholeBodies(getRequestListener(app.fetch), BODY_LIMIT))
     server.once('error', (cause: NodeJS.ErrnoException) => {
       const remedy = cause.code === 'EADDRINUSE' ? 'stop the other process or change control.apiPort' : 'check vm.address and control.apiPort'
       resolve(err({ kind: 'listenFailed', message: `cannot listen on ${address}:${options.port} (${cause.code ?? cause.message}); ${remedy}` }))
@@ -63,6 +61,7 @@
       port: (server.address() as AddressInfo).port,
       stop: () => closeServer(server)
     })))
+    server.listen(options.port, address)
   })
 }
 
--- a/packages/node/src/server/caller-connections.ts
+++ b/packages/node/src/server/caller-connections.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import type { Clock } from '@orioleslip/core'
+import { hasBody, type Clock } from '@orioleslip/core'
 import { closeWithRefusal } from './malformed-bytes.js'
 
 /** A caller's connection that has ended before each of its requests got a whole response. */
@@ -122,7 +122,3 @@
     }
   }
 }
-
-function hasBody ({ headers }: IncomingMessage): boolean {
-  return headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0
-}
--- a/packages/node/src/server/well-known.ts
+++ b/packages/node/src/server/well-known.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage } from 'node:http'
 import { getRequestListener } from '@hono/node-server'
-import { WELL_KNOWN_PREFIX, type Member, type RequestVerifier } from '@orioleslip/core'
+import { WELL_KNOWN_PREFIX, withWholeBodies, type BodyLimit, type Member, type RequestVerifier } from '@orioleslip/core'
 import { Hono } from 'hono'
 import type { DecisionRecords } from '../calls/decision-records.js'
 import type { StatsSnapshot } from '../calls/node-stats.js'
@@ -19,6 +19,12 @@
   state: () => Record<string, unknown>
 }
 
+/** Announcements are small. */
+const BODY_LIMIT: BodyLimit = {
+  maxBytes: 64 * 1024,
+  tooLarge: { type: 'application/json', text: JSON.stringify({ error: 'the announcement exceeds 64 KiB' }) }
+}
+
 /** Creates the endpoints of the node itself: announcements of the target, decision records, members, counters and state. */
 export function createWellKnown (options: WellKnownOptions): RequestListener {
   const app = new Hono<{ Bindings: { incoming: IncomingMessage } }>().basePath(WELL_KNOWN_PREFIX.slice(0, -1))
@@ -48,6 +54,6 @@
   app.get('/members', (c) => c.json({ members: options.members() }))
   app.get('/stats', (c) => c.json(options.stats()))
   app.get('/state', (c) => c.json(options.state()))
-  const listener = getRequestListener(app.fetch)
-  return async (req, res) => { await listener(req, res) }
+  const listener = withWholeBodies(getRequestListener(app.fetch), BODY_LIMIT)
+  return async (req, res) => { listener(req, res) }
 }
