Test that accepted entries survive two lost disks while all other VMs lose power

Gone through: an entry is accepted once three of five voters have synced it; a VM with an erased disk belongs to no group until a leader adds it, so that it has no vote; the other machines keep no accepted state. No code changed.

--- a/packages/control/src/replication/open-membership.test.ts
+++ b/packages/control/src/replication/open-membership.test.ts
@@ -51,6 +51,41 @@
   }
 })
 
+const PAIRS = SEEDS.concat('c4', 'c5').flatMap((first, i, all) => all.slice(i + 1).map((second) => [first, second] as const))
+/** Time after the proposal at which the VMs go down, in ms; entries are accepted within the first. */
+const DOWN_AFTER_MS = [0, 5, 20, 60, 200]
+
+// Guards against an accepted entry that is lost when all other VMs lose power at the moment at which two disks are lost: it was accepted
+// before enough disks had synced it, or VMs without it form a majority. Learners lose power as well.
+test('an accepted entry survives the loss of any two disks while all other VMs lose power, also right after it was sent', async (t) => {
+  let accepted = 0
+  for (const [i, [first, second]] of PAIRS.entries()) {
+    for (const [j, downAfterMs] of DOWN_AFTER_MS.entries()) {
+      const cluster = createCluster(6, 64 + i * DOWN_AFTER_MS.length + j, {}, { seeds: SEEDS, voters: 5 })
+      await formGroup(cluster)
+      await cluster.start('c6')
+      await cluster.advance(100)
+      const results: boolean[] = []
+      cluster.leader()!.log!.propose('a').then((result) => { results.push(result.isOk()) }, () => {})
+      await cluster.advance(downAfterMs)
+      for (const { vmId } of cluster.vms) {
+        cluster.kill(vmId, true)
+        if (vmId === first || vmId === second) cluster.vm(vmId).disk.erase()
+      }
+      const isAccepted = results[0] === true
+      if (isAccepted) accepted++
+      for (const { vmId } of cluster.vms) await cluster.start(vmId)
+      await cluster.waitUntil(() => voterIds(cluster).length === 5, 'five voters again', 30_000)
+      t.true((await cluster.propose(cluster.leader()!.vmId, 'b')).isOk())
+      const { applied } = cluster.leader()!.machine
+      t.true(!isAccepted || applied.includes('a'), `${first} and ${second} after ${downAfterMs} ms: ${applied}`)
+      t.deepEqual(cluster.violations, [])
+    }
+  }
+  t.log(`accepted in ${accepted} of ${PAIRS.length * DOWN_AFTER_MS.length} runs`)
+  t.true(accepted >= PAIRS.length)
+})
+
 // Guards against a permanently lost VM that stays a voter: the group then tolerates fewer further losses.
 test('a spare VM waits as a learner and replaces a VM that is lost', async (t) => {
   const cluster = createCluster(7, 63, {}, { seeds: SEEDS, voters: 5 })
