--- a/packages/node/src/calls/decision-records.ts
+++ b/packages/node/src/calls/decision-records.ts
@@ -26,6 +26,9 @@
   find: (requestId: string) => DecisionRecord[]
 }
 
+/** Longest text of a field that is kept, in characters; callers choose customers and paths. */
+const MAX_TEXT_LENGTH = 512
+
 /** Creates a ring buffer of the newest `limit` records. */
 export function createDecisionRecords (limit: number): DecisionRecords {
   const ring: DecisionRecord[] = []
@@ -33,9 +36,14 @@
   return {
     add: (record) => {
       if (limit === 0) return
-      ring[next] = record
+      const { customer, opKey, detail } = record
+      ring[next] = { ...record, customer: clip(customer), opKey: clip(opKey), detail: clip(detail) }
       next = (next + 1) % limit
     },
     find: (requestId) => ring.filter((record) => record.requestId === requestId).sort((a, b) => a.wallMs - b.wallMs)
   }
 }
+
+function clip (text: string): string {
+  return text.length <= MAX_TEXT_LENGTH ? text : `${text.slice(0, MAX_TEXT_LENGTH)}... (${text.length} characters)`
+}
