--- a/packages/core/src/memory/chunk-list.test.ts
+++ b/packages/core/src/memory/chunk-list.test.ts
@@ -1,7 +1,6 @@
-import { setFlagsFromString } from 'node:v8'
-import { runInNewContext } from 'node:vm'
 import test from 'ava'
 import fc from 'fast-check'
+import { heldBytes } from '../testing/held-bytes.js'
 import { createChunkList } from './chunk-list.js'
 
 const chunk = fc.uint8Array({ minLength: 1, maxLength: 3000 })
@@ -38,16 +37,6 @@
   t.is(list.takeAll(), one)
 })
 
-setFlagsFromString('--expose-gc')
-const collectGarbage = runInNewContext('gc') as () => void
-
-function heldBytes (): number {
-  collectGarbage()
-  collectGarbage()
-  const { heapUsed, external } = process.memoryUsage()
-  return heapUsed + external
-}
-
 const SIZES = [['one byte', [1]], ['100 bytes', [100]], ['large and small ones by turns', [1024, 1]]] as const
 const TOTAL_BYTES = 4 * 1024 * 1024
 
--- a/packages/core/src/testing/index.ts
+++ b/packages/core/src/testing/index.ts
@@ -1,2 +1,3 @@
+export * from './held-bytes.js'
 export * from './loopback-host.js'
 export * from './socket-closed.js'
--- a/packages/node/src/target/endless-target.test.ts
+++ b/packages/node/src/target/endless-target.test.ts
@@ -1,10 +1,8 @@
 import { once } from 'node:events'
 import type { Socket } from 'node:net'
-import { setFlagsFromString } from 'node:v8'
-import { runInNewContext } from 'node:vm'
 import test, { type ExecutionContext } from 'ava'
 import { systemClock } from '@orioleslip/core'
-import { socketClosed } from '@orioleslip/core/testing'
+import { heldBytes, socketClosed } from '@orioleslip/core/testing'
 import { startFaultyTarget, TIMEOUT_MS } from '../testing/faulty-target.js'
 
 const OK = 'HTTP/1.1 200 OK\r\nX-Id: a\r\n'
@@ -84,17 +82,6 @@
   })
 }
 
-setFlagsFromString('--expose-gc')
-const collectGarbage = runInNewContext('gc') as () => void
-
-/** Bytes that this thread holds after garbage collections; the second one waits for what the first one frees in the background. */
-function heldBytes (): number {
-  collectGarbage()
-  collectGarbage()
-  const { heapUsed, external } = process.memoryUsage()
-  return heapUsed + external
-}
-
 // Guards against a node that keeps what it reads of a status line, of interim responses or of the line of a chunk until its memory is full.
 // Serial tests run before the others of this file, whose memory would count as well.
 test.serial('the memory of a node stays bounded while a response that never starts is read', async (t) => {
