--- a/packages/cli/src/cli.test.ts
+++ b/packages/cli/src/cli.test.ts
@@ -82,7 +82,7 @@
 // Guards against attempts with a wrong key that are missing in the audit trail, as when the command stops at its first denied request.
 test('an edit with a wrong key is denied and audited', async (t) => {
   const run = await startFleet(t)
-  await run(['cluster', 'init'])
+  t.is((await run(['cluster', 'init'])).code, EXIT.ok)
   const { dir, customers, plans } = await createListFiles()
   t.teardown(() => rm(dir, { recursive: true }))
   const res = await run(['lists', 'edit', '--customers', customers, '--plans', plans, '--base', '0'], { ORIOLESLIP_KEY: 'wrong-key-0123456789' })
