Count a target that holds a call until its deadline as faulty, whichever node ends the call

Since a response that stalls until its deadline is refused with deadline-exceeded, its target counted as sound when the timer of the node beside it ended first, and as faulty when the entry node's did; so did one that sends no head, before. Change: a refusal for the deadline with an unknown outcome counts as a fault, like the cancellation by the entry node. Before: the first test of attempt-result.test.ts failed; after: it passes.

--- a/packages/node/src/calls/attempt-result.ts
+++ b/packages/node/src/calls/attempt-result.ts
@@ -65,6 +65,8 @@
 
 /** True for refusals caused by a fault of the target or node, false for deliberate ones. */
 function isFault (refusal: Refusal): boolean {
+  // The deadline of the call runs at both nodes; which of them ends first says nothing about the target.
+  if (refusal.code === 'deadline-exceeded') return refusal.outcome === 'unknown'
   return refusal.code === 'target-lost' || refusal.code === 'bad-answer' || refusal.code === 'internal-error'
 }
 
