Write held chunks one by one, and name the refusal after a wait for what it says

A held body that turns out too large was joined into one buffer before it was written, which doubled its memory for a moment.

--- a/packages/node/src/calls/entry-request.ts
+++ b/packages/node/src/calls/entry-request.ts
@@ -109,9 +109,9 @@
   return notRun('deadline-exceeded', 'the deadline passed, or the caller left, before the body of the request had arrived')
 }
 
-/** Refusal of a request whose deadline passed while it waited behind others of its connection. */
+/** Refusal of a request whose deadline had passed when it could be handled, for example behind others of its connection. */
 export function deadlinePassed (): Refusal {
-  return notRun('deadline-exceeded', 'the deadline passed before the earlier requests of the connection had been answered')
+  return notRun('deadline-exceeded', 'the deadline passed before the request could be handled')
 }
 
 async function readBody (req: IncomingMessage, lengthBytes: number | undefined, limitBytes: number): Promise<RequestBody> {
--- a/packages/node/src/calls/response-writer.ts
+++ b/packages/node/src/calls/response-writer.ts
@@ -57,9 +57,9 @@
     const whole = body.takeRest() ?? (held !== undefined && await held.hold(body) ? held.chunks.takeAll() : undefined)
     if (whole === undefined) {
       // The head waits for the first chunk, so that a response that is cut off before it can be refused.
-      const first = held?.chunks.takeAll() ?? await body.read()
+      const first = held?.chunks.shift() ?? await body.read()
       writeHead(res, head, headers)
-      if (first !== undefined) res.write(first)
+      for (let chunk = first; chunk !== undefined; chunk = held?.chunks.shift()) res.write(chunk)
       await pipeBody(res, body)
     }
     const end = await finish
