Read whether a connection is paused from its socket; one size of small chunks

Found by reading the diff: a flag beside the socket's own state said that a paused connection was not, between two ticks; a waiting request with a body could then have waited until its deadline.

--- a/packages/core/src/memory/chunk-batch.ts
+++ b/packages/core/src/memory/chunk-batch.ts
@@ -1,4 +1,4 @@
-import { createChunkList } from './chunk-list.js'
+import { createChunkList, SMALL_CHUNK_BYTES } from './chunk-list.js'
 
 /** Joins small chunks that arrive in one turn of the event loop, so that whoever gets them does its work once for all. */
 export type ChunkBatch = {
@@ -9,10 +9,7 @@
   size: () => number
 }
 
-/** Chunks of at least this size, in bytes, are passed on at once if none wait. */
-const LARGE_CHUNK_BYTES = 1024
-
-/** Creates an empty batch; `pass` gets its bytes in order, one call a turn at least while chunks arrive. */
+/** Creates an empty batch; `pass` gets its bytes in order, a large chunk at once if none wait, and otherwise at the end of the turn. */
 export function createChunkBatch (pass: (chunk: Uint8Array) => void): ChunkBatch {
   const waiting = createChunkList()
   let timer: NodeJS.Immediate | undefined
@@ -24,7 +21,7 @@
   }
   return {
     add: (chunk) => {
-      if (timer === undefined && chunk.length >= LARGE_CHUNK_BYTES) return pass(chunk)
+      if (timer === undefined && chunk.length >= SMALL_CHUNK_BYTES) return pass(chunk)
       waiting.push(chunk)
       timer ??= setImmediate(flush)
     },
--- a/packages/core/src/memory/chunk-list.ts
+++ b/packages/core/src/memory/chunk-list.ts
@@ -11,7 +11,7 @@
 }
 
 /** Chunks below this size, in bytes, are copied together, since each costs hundreds of bytes whatever its size. */
-const SMALL_CHUNK_BYTES = 1024
+export const SMALL_CHUNK_BYTES = 1024
 /** Size of the blocks that small chunks are copied into, in bytes. */
 const BLOCK_BYTES = 4096
 
--- a/packages/node/src/server/caller-connections.ts
+++ b/packages/node/src/server/caller-connections.ts
@@ -29,7 +29,6 @@
   waiting: number
   /** True if the last waiting request has a body, of which nothing is read before its turn. */
   hasWaitingBody: boolean
-  isPaused: boolean
   byResponse: boolean
   /** The request that arrived last. */
   last: { req: IncomingMessage, res: ServerResponse } | undefined
@@ -38,9 +37,9 @@
 }
 
 /**
- * Creates the registry. The requests of a connection are handled one after the other: a response may have to end the connection, and then a
- * request behind it that has been passed on runs without a response, while one that has not can be sent again. `onUnanswered` is called for
- * each connection that ends with requests without a whole response.
+ * Creates the order, in which the requests of a connection are handled one after the other: a response may have to end the connection, and
+ * then a request behind it that has been passed on runs without a response, while one that has not can be sent again. `onUnanswered` is
+ * called for each connection that ends with requests without a whole response.
  */
 export function createCallerConnections (clock: Clock, onUnanswered: (end: UnansweredEnd) => void): CallerConnections {
   const connections = new WeakMap<Socket, Connection>()
@@ -49,7 +48,7 @@
     const known = connections.get(socket)
     if (known !== undefined) return known
     const connection: Connection = {
-      open: new Set(), waiting: 0, hasWaitingBody: false, isPaused: false, byResponse: false, last: undefined, refuse: undefined
+      open: new Set(), waiting: 0, hasWaitingBody: false, byResponse: false, last: undefined, refuse: undefined
     }
     connections.set(socket, connection)
     socket.once('close', () => {
@@ -61,18 +60,8 @@
 
   const limitReading = (socket: Socket, connection: Connection): void => {
     const isFull = connection.waiting > MAX_WAITING_REQUESTS || connection.hasWaitingBody
-    if (!isFull) {
-      if (connection.isPaused) socket.resume()
-      connection.isPaused = false
-    } else if (!connection.isPaused) {
-      connection.isPaused = true
-      socket.pause()
-    }
-  }
-  // At the end of a request Node.js resumes its socket, in the next tick.
-  const limitReadingAfterResume = (socket: Socket, connection: Connection): void => {
-    connection.isPaused = false
-    process.nextTick(() => process.nextTick(limitReading, socket, connection))
+    if (isFull) socket.pause()
+    else if (socket.isPaused()) socket.resume()
   }
 
   const start = (connection: Connection, req: IncomingMessage, res: ServerResponse, handler: () => void): void => {
@@ -94,7 +83,8 @@
       const arrivedMs = clock.nowMs()
       connection.waiting++
       connection.hasWaitingBody = hasBody(req)
-      limitReadingAfterResume(socket, connection)
+      // At the end of a request Node.js resumes its socket, in the next tick.
+      process.nextTick(() => process.nextTick(limitReading, socket, connection))
       res.once('socket', () => {
         connection.waiting--
         if (connection.waiting === 0) connection.hasWaitingBody = false
