Keep the length of a request's body, and the end of a response behind one, in one place

Both now call what the response writer and the route handler had, moved to the core package. A comment in the test of lost disks said the opposite of what its runs show.

--- a/packages/control/src/replication/open-membership.test.ts
+++ b/packages/control/src/replication/open-membership.test.ts
@@ -52,7 +52,7 @@
 })
 
 const PAIRS = SEEDS.concat('c4', 'c5').flatMap((first, i, all) => all.slice(i + 1).map((second) => [first, second] as const))
-/** Time after the proposal at which the VMs go down, in ms; entries are accepted within the first. */
+/** Time after the proposal at which the VMs go down, in ms; the entry has been accepted in the later cases. */
 const DOWN_AFTER_MS = [0, 5, 20, 60, 200]
 
 // Guards against an accepted entry that is lost when all other VMs lose power at the moment at which two disks are lost: it was accepted
--- a/packages/core/src/http/whole-bodies.ts
+++ b/packages/core/src/http/whole-bodies.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http'
 import { createChunkList } from '../memory/chunk-list.js'
+import { bodyLength, endAfterBody } from './request-bodies.js'
 
 /** Result of reading a body: `cut` if the sender has left before its end. */
 type WholeBody = { kind: 'whole', bytes: Buffer } | { kind: 'tooLarge' } | { kind: 'cut' }
@@ -12,16 +13,13 @@
   tooLarge: { type: string, text: string }
 }
 
-/** Longest time for which the rest of a body that is too large is read and discarded, in ms. */
-const LINGER_MS = 1000
-
 /**
  * Wraps the listener of an application of Hono, which gets each body whole, in the property `rawBody` that its adapter for Node.js reads.
  * That adapter would keep each chunk of a body by itself, and without a limit.
  */
 export function withWholeBodies (listener: RequestListener, limit: BodyLimit): RequestListener {
   return (req, res) => {
-    if (!hasBody(req)) return listener(req, res)
+    if (bodyLength(req) === 0) return listener(req, res)
     readBody(req, limit.maxBytes).then((body) => {
       switch (body.kind) {
         case 'whole':
@@ -35,13 +33,8 @@
   }
 }
 
-/** True if a request has a body, also one that may turn out to be empty. */
-export function hasBody ({ headers }: IncomingMessage): boolean {
-  return headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0
-}
-
 function readBody (req: IncomingMessage, maxBytes: number): Promise<WholeBody> {
-  if (Number(req.headers['content-length'] ?? 0) > maxBytes) return Promise.resolve({ kind: 'tooLarge' })
+  if ((bodyLength(req) ?? 0) > maxBytes) return Promise.resolve({ kind: 'tooLarge' })
   return new Promise((resolve) => {
     const chunks = createChunkList()
     const end = () => {
@@ -64,12 +57,5 @@
 function refuseTooLarge (req: IncomingMessage, res: ServerResponse, { tooLarge: { type, text } }: BodyLimit): void {
   res.writeHead(413, { 'content-type': type, 'content-length': Buffer.byteLength(text), connection: 'close' })
   res.write(text)
-  // Closing at once would reset the connection while the body arrives, and the sender would lose the response.
-  const end = () => {
-    clearTimeout(timer)
-    res.end()
-  }
-  const timer = setTimeout(end, LINGER_MS)
-  req.once('close', end)
-  req.resume()
+  endAfterBody(req, res)
 }
--- a/packages/node/src/calls/entry-request.ts
+++ b/packages/node/src/calls/entry-request.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage } from 'node:http'
 import {
-  createChunkList, endToEndHeaders, headerValue, HEADERS, newTraceId, notRun, parseTraceParent,
+  bodyLength, createChunkList, endToEndHeaders, headerValue, HEADERS, newTraceId, notRun, parseTraceParent,
   type CancelSignal, type Refusal, type TraceParent
 } from '@orioleslip/core'
 import { err, ok, type Result } from 'neverthrow'
@@ -68,12 +68,6 @@
   })
 }
 
-/** Length of the body in bytes; undefined for a chunked one. */
-export function bodyLength (req: IncomingMessage): number | undefined {
-  if (req.headers['transfer-encoding'] !== undefined) return undefined
-  return Number(req.headers['content-length'] ?? 0)
-}
-
 /** Generates a trace context for a request without a `traceparent` header. */
 export function newTrace (): TraceParent {
   return { traceId: newTraceId(), spanId: '0000000000000001', flags: '00' }
--- a/packages/node/src/calls/request-end.ts
+++ b/packages/node/src/calls/request-end.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import { discardRequestBody } from '@orioleslip/core'
 import type { CallDeadline } from './call-deadline.js'
-import { discardRequestBody } from './request-reader.js'
 
 /** Longest time in which the client can read the rest of its response, in ms. */
 const LINGER_MS = 3000
--- a/packages/node/src/calls/request-reader.ts
+++ b/packages/node/src/calls/request-reader.ts
@@ -29,9 +29,3 @@
   req.once('close', end)
   return queue.read
 }
-
-/** Discards the rest of a request's body while it arrives. */
-export function discardRequestBody (req: IncomingMessage): void {
-  req.removeAllListeners('data')
-  req.resume()
-}
--- a/packages/node/src/calls/response-writer.ts
+++ b/packages/node/src/calls/response-writer.ts
@@ -1,14 +1,10 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { headerValue, HEADERS, REFUSALS, toProblem, type Refusal } from '@orioleslip/core'
+import { endAfterBody, headerValue, HEADERS, REFUSALS, toProblem, type Refusal } from '@orioleslip/core'
 import type { ByteQueue } from '../links/byte-queue.js'
 import type { ResponseHead } from '../links/messages.js'
 import type { CallFinish } from '../links/outgoing-call.js'
 import { createHeldBody } from './held-body.js'
 import { BUFFERED_BODY_LIMIT_BYTES } from './request-body.js'
-import { discardRequestBody } from './request-reader.js'
-
-/** Longest time for which the rest of a refused request's body is read and discarded, in ms. */
-const LINGER_MS = 1000
 
 /** Writes a refusal as an `application/problem+json` document; destroys the response if its headers have already been sent. */
 export function writeRefusal (req: IncomingMessage, res: ServerResponse, refusal: Refusal, requestId: string): void {
@@ -30,15 +26,8 @@
     res.end(body)
     return
   }
-  // Closing the socket while body bytes still arrive resets the connection, and the client may lose a refusal that it has not read yet.
   res.write(body)
-  const end = () => {
-    clearTimeout(timer)
-    res.end()
-  }
-  const timer = setTimeout(end, LINGER_MS)
-  req.once('close', end)
-  discardRequestBody(req)
+  endAfterBody(req, res)
 }
 
 /**
--- a/packages/node/src/routes/route-handler.ts
+++ b/packages/node/src/routes/route-handler.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import {
-  endToEndHeaders, headerValue, newTraceId, notRun, REFUSALS, unknownOutcome,
+  bodyLength, endToEndHeaders, headerValue, newTraceId, notRun, REFUSALS, unknownOutcome,
   type Clock, type MemberRecord, type Operation, type Refusal, type RefusalCode, type RequestContext, type Route, type RoutesIndex
 } from '@orioleslip/core'
 import { err, ok, type Result } from 'neverthrow'
@@ -8,7 +8,7 @@
 import { refusalOfCut } from '../calls/attempt-result.js'
 import { startDeadline, type CallDeadline } from '../calls/call-deadline.js'
 import { endRequest } from '../calls/request-end.js'
-import { bodyLength, bodyMissing, bufferBody, deadlinePassed } from '../calls/entry-request.js'
+import { bodyMissing, bufferBody, deadlinePassed } from '../calls/entry-request.js'
 import { NO_REPORT, type AttemptRecord, type Forwarder, type ForwardResult } from '../calls/forwarder.js'
 import { countOpenRequests, type CountedHandler } from '../calls/open-requests.js'
 import { withoutSetHeaders, type CallHeaderNames } from './call-headers.js'
--- a/packages/node/src/server/caller-connections.ts
+++ b/packages/node/src/server/caller-connections.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import { hasBody, type Clock } from '@orioleslip/core'
+import { bodyLength, type Clock } from '@orioleslip/core'
 import { closeWithRefusal } from './malformed-bytes.js'
 
 /** A caller's connection that has ended before each of its requests got a whole response. */
@@ -82,7 +82,7 @@
       if (res.socket !== null) return start(connection, req, res, () => handler(0))
       const arrivedMs = clock.nowMs()
       connection.waiting++
-      connection.hasWaitingBody = hasBody(req)
+      connection.hasWaitingBody = bodyLength(req) !== 0
       // At the end of a request Node.js resumes its socket, in the next tick.
       process.nextTick(() => process.nextTick(limitReading, socket, connection))
       res.once('socket', () => {
