--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -49,6 +49,13 @@
   }
   const fleet = createFleet(record)
   let code = 2
+  // Whatever happens, no process is left behind.
+  const abandon = async (cause) => {
+    record(`the case could not be run: ${cause?.stack ?? cause}`)
+    await fleet.end()
+    process.exit(2)
+  }
+  for (const event of ['uncaughtException', 'unhandledRejection', 'SIGTERM', 'SIGINT']) process.once(event, abandon)
   try {
     const held = await play(fleet, record)
     record(held ? 'the rule held' : 'THE RULE WAS BROKEN')
@@ -142,6 +149,7 @@
       return { controls: controlMachines, nodes }
     },
     startProcess,
+    settings: (machine) => settingsOf(machine, machine.seeds, machine.controls),
     /** One check of the platform: true for a response with status 200. */
     isReady: async (node) => {
       const answer = await exchange(`${node.ip}:${ports.readiness}`, 'GET /ready HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n', 1000).catch(() => '')
@@ -345,7 +353,8 @@
     wake()
   })
   socket.on('error', (err) => { state.ended ??= err.code === 'ECONNREFUSED' ? 'not connected' : `reset (${err.code})` })
-  socket.on('end', () => { state.ended ??= 'closed in order' })
+  // Node.js reports a reset that arrives with the last bytes as the end of the connection; such a connection has no peer any more.
+  socket.on('end', () => { state.ended ??= socket.remoteAddress === undefined ? 'reset' : 'closed in order' })
   socket.on('close', () => {
     state.ended ??= 'closed'
     wake()
