--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -44,16 +44,19 @@
   const startMs = performance.now()
   const record = (text) => {
     const line = `${((performance.now() - startMs) / 1000).toFixed(3).padStart(7)} s  ${text}`
-    appendFileSync(recordFile, line + '\n')
     console.log(line)
+    appendFileSync(recordFile, line + '\n')
   }
   const fleet = createFleet(record)
   let code = 2
   // Whatever happens, no process is left behind.
   const abandon = async (cause) => {
-    record(`the case could not be run: ${cause?.stack ?? cause}`)
-    await fleet.end()
-    process.exit(2)
+    try {
+      record(`the case could not be run: ${cause?.stack ?? cause}`)
+    } finally {
+      await fleet.end()
+      process.exit(2)
+    }
   }
   for (const event of ['uncaughtException', 'unhandledRejection', 'SIGTERM', 'SIGINT']) process.once(event, abandon)
   try {
