--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -152,7 +152,6 @@
       return { controls: controlMachines, nodes }
     },
     startProcess,
-    settings: (machine) => settingsOf(machine, machine.seeds, machine.controls),
     /** One check of the platform: true for a response with status 200. */
     isReady: async (node) => {
       const answer = await exchange(`${node.ip}:${ports.readiness}`, 'GET /ready HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n', 1000).catch(() => '')
