--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -152,6 +152,8 @@
       return { controls: controlMachines, nodes }
     },
     startProcess,
+    /** Writes the settings file of a machine again. */
+    writeSettings: (machine) => writeFileSync(join(folder, `${machine.name}.toml`), settingsOf(machine, machine.seeds, machine.controls)),
     /** One check of the platform: true for a response with status 200. */
     isReady: async (node) => {
       const answer = await exchange(`${node.ip}:${ports.readiness}`, 'GET /ready HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n', 1000).catch(() => '')
@@ -169,8 +171,8 @@
       }, GRACE_MS))
     },
     /** Starts a server beside a node; `answer` gets the parsed request and writes the response. It announces itself to the node. */
-    startServer: async (node, { concurrency, answer }) => {
-      const server = createStandInServer(node, { concurrency, answer, ports, record })
+    startServer: async (node, { concurrency, answer, id = `i-${node.name}` }) => {
+      const server = createStandInServer(node, { id, concurrency, answer, ports, record })
       await server.listen()
       servers.push(server)
       return server
@@ -233,7 +235,11 @@
     Listeners: hosts.map((Host) => ({
       Host,
       Rules: routes.filter(([host]) => host === Host).map(([, PathPrefix, RouteType, Service, TimeoutMs, Priority]) => ({
-        Name: `r-${PathPrefix.replaceAll('/', '')}`, RouteType, TargetLatencyMs: 1500, Priority, Match: { PathPrefix },
+        Name: `r-${PathPrefix.replaceAll('/', '')}`,
+        RouteType,
+        TargetLatencyMs: 1500,
+        Priority,
+        Match: { PathPrefix },
         Action: { Service, TimeoutMs, MaxAttempts: 2 }
       }))
     })),
@@ -245,8 +251,8 @@
  * A sound server of the platform: it runs `concurrency` requests at once and queues a few more, echoes ids, answers 421 to a request for
  * another instance, drops a request whose connection closes, and sends pings to the node on its machine.
  */
-function createStandInServer (node, { concurrency, answer, ports, record }) {
-  const id = `i-${node.name}`
+function createStandInServer (node, { id, concurrency, answer, ports, record }) {
+  const { service } = node
   const born = Date.now()
   const sockets = new Set()
   const queue = []
@@ -310,7 +316,9 @@
     })
   })
   const ping = (State = 'ready') => putJson(`${node.ip}:${ports.admin}`, `/instances/${id}`, {
-    Address: `${node.ip}:${ports.app}`, born, Info: { Service: node.service, Version: 'v1', Zone: 'akur-a', Concurrency: concurrency },
+    Address: `${node.ip}:${ports.app}`,
+    born,
+    Info: { Service: service, Version: 'v1', Zone: 'akur-a', Concurrency: concurrency },
     Status: { State, Sequence: ++sequence, WarmupLeftMs: 0 }
   }).catch(() => 0)
 
