--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -166,8 +166,9 @@
     /** The platform's stop of a machine: SIGTERM, then SIGKILL after the grace. */
     stop: (machine) => {
       fleet.signal(machine, 'SIGTERM')
+      const stopped = machine.process
       timers.push(setTimeout(() => {
-        if (machine.exited === undefined) fleet.signal(machine, 'SIGKILL')
+        if (machine.process === stopped && machine.exited === undefined) fleet.signal(machine, 'SIGKILL')
       }, GRACE_MS))
     },
     /** Starts a server beside a node; `answer` gets the parsed request and writes the response. It announces itself to the node. */
@@ -315,17 +316,30 @@
       }
     })
   })
-  const ping = (State = 'ready') => putJson(`${node.ip}:${ports.admin}`, `/instances/${id}`, {
+  const nextPing = (State = 'ready') => ({
     Address: `${node.ip}:${ports.app}`,
     born,
     Info: { Service: service, Version: 'v1', Zone: 'akur-a', Concurrency: concurrency },
     Status: { State, Sequence: ++sequence, WarmupLeftMs: 0 }
-  }).catch(() => 0)
+  })
+  const send = (ping) => putJson(`${node.ip}:${ports.admin}`, `/instances/${id}`, ping).catch(() => 0)
+  const ping = (State) => send(nextPing(State))
 
   return {
     id,
     ran,
     ping,
+    /** Makes the next ping, which is sent by `sendPing`, maybe late; resolves with the status, 0 without an answer. */
+    nextPing,
+    sendPing: send,
+    /** No further ping is sent by itself. */
+    stopPings: () => clearInterval(timer),
+    /** Tells the node that the server leaves; resolves with the status. */
+    withdraw: async () => {
+      const text = `DELETE /instances/${id} HTTP/1.1\r\nhost: ${node.ip}\r\nconnection: close\r\n\r\n`
+      const answer = await exchange(`${node.ip}:${ports.admin}`, text, 1000).catch(() => '')
+      return Number(/^HTTP\/1\.1 (\d+)/.exec(answer)?.[1] ?? 0)
+    },
     running: () => running,
     listen: async () => {
       server.listen(ports.app, node.ip)
