--- a/packages/node/src/target/copy-scanner.test.ts
+++ b/packages/node/src/target/copy-scanner.test.ts
@@ -3,11 +3,11 @@
 
 const COPY = 'HTTP/1.1 200 OK\r\nServer: s\r\nX-Id: known\r\nContent-Length: 2\r\n\r\nok'
 
-/** Scans text in chunks; returns the last result. */
-function scan (...chunks: string[]): ScanResult {
+/** Scans bytes, or text, in chunks; returns the last result. */
+function scan (...chunks: Array<string | Buffer>): ScanResult {
   const push = createCopyScanner({ idHeader: 'x-id', isKnownId: (id) => id === 'known' })
   let result: ScanResult = 'clean'
-  for (const chunk of chunks) result = push(Buffer.from(chunk, 'latin1'))
+  for (const chunk of chunks) result = push(typeof chunk === 'string' ? Buffer.from(chunk, 'latin1') : chunk)
   return result
 }
 
@@ -53,3 +53,50 @@
   const durationMs = performance.now() - startMs
   t.true(durationMs < SCAN_MS, `${durationMs} ms`)
 })
+
+/** Bytes of the bodies whose cost is compared. */
+const COMPARED_BYTES = 64 * 1024
+/** Lengths that are compared; the ratio of their costs is 1 if the cost of a byte does not depend on the length. */
+const SHORT_BYTES = 100
+const LONG_BYTES = 12_000
+const MAX_COST_RATIO = 4
+/** Each cost is the lowest of so many runs, which leaves out those beside which the machine was busy. */
+const COST_RUNS = 7
+
+/** Time to scan `unit` as often as it takes to make `COMPARED_BYTES`, each in a body of its own, in ms. */
+function costOf (unit: string, chunkBytes: number): number {
+  const bytes = Buffer.from(unit, 'latin1')
+  const chunkCount = Math.ceil(bytes.length / chunkBytes)
+  const chunks = Array.from({ length: chunkCount }, (_, i) => bytes.subarray(i * chunkBytes, (i + 1) * chunkBytes))
+  const runs = Array.from({ length: COST_RUNS }, () => {
+    const startMs = performance.now()
+    for (let scanned = 0; scanned < COMPARED_BYTES; scanned += bytes.length) scan(...chunks)
+    return performance.now() - startMs
+  })
+  return Math.min(...runs)
+}
+
+const HEAD = 'HTTP/1.1 200 OK\n'
+// Each has about `length` bytes in which a reader could look further ahead, or back, the longer they are.
+const HOSTILE_UNITS: ReadonlyArray<[name: string, unitOf: (length: number) => string]> = [
+  ['blanks and a bare carriage return', (length) => `${HEAD}a:${' '.repeat(length)}\r.\n`],
+  ['tabs and blanks', (length) => `${HEAD}a:${'\t '.repeat(length / 2)}.\n`],
+  ['blanks behind the id', (length) => `${HEAD}X-Id: a${' '.repeat(length)}.\n`],
+  ['a name without a colon', (length) => `${HEAD}${'a'.repeat(length)}`],
+  ['status lines in one line', (length) => 'HTTP/1.1 200 '.repeat(length / 13)],
+  ['starts of versions', (length) => 'HTTP/1.'.repeat(length / 7)],
+  ['halves of status lines', (length) => 'HTTP/1.1 2'.repeat(length / 10)],
+  ['a status line without an end', (length) => `HTTP/1.1 200 ${'a'.repeat(length)}`],
+  ['short header lines', (length) => `${HEAD}${'a: b\n'.repeat(length / 5)}`]
+]
+
+// Guards against a node that serves nobody while it reads a body that a target has chosen (review/6): 8 kB kept it busy for minutes.
+for (const [name, unitOf] of HOSTILE_UNITS) {
+  for (const chunkBytes of [COMPARED_BYTES, 1]) {
+    test.serial(`the cost of a byte does not depend on the length of ${name}, in chunks of ${chunkBytes}`, (t) => {
+      const shortMs = costOf(unitOf(SHORT_BYTES), chunkBytes)
+      const longMs = costOf(unitOf(LONG_BYTES), chunkBytes)
+      t.true(longMs < shortMs * MAX_COST_RATIO, `${shortMs} ms, ${LONG_BYTES / SHORT_BYTES} times as long: ${longMs} ms`)
+    })
+  }
+}
