Refuse what has not been sent to a target before a planned stop ends, within its grace

The process was still there at the end of the grace.

Cause: nothing ended the wait of an accepted call when its node stopped. At the end of the drain (5.6 s) the node waited up to 1 s more for the same requests, past the 6 s of the grace, and then closed their connections. The node where a request begins can't say itself that a call at another node has not been sent.

Change: half-way through the drain the node recalls what has not been sent: requests that wait for their own body, a peer connection, a slot, the lane of suspects or the record of their key. A recall of a call at another node is a request on the peer link, which the executor there answers by refusing the call, or ignores once the target has it, so that only what surely did not run is told so. It is no message of the stream, as nodes of earlier versions close a connection on an unknown one. The other half of the drain is left to calls at their targets. After the drain the stop waits 0.2 s for connections, not 1 s.

--- a/packages/node/src/calls/call-handler.ts
+++ b/packages/node/src/calls/call-handler.ts
@@ -1,8 +1,8 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import {
   HEADERS, newTraceId, notRun, priorityOf, unknownOutcome,
-  type Clock, type EntryAdmission, type ListsIndex, type MemberRecord, type Operation, type Plan, type Quotas, type Refusal,
-  type RetryLedger, type RequestContext
+  type CancelSignal, type Clock, type EntryAdmission, type ListsIndex, type MemberRecord, type Operation, type Plan, type Quotas,
+  type Refusal, type RetryLedger, type RequestContext
 } from '@orioleslip/core'
 import { err, ok, type Result } from 'neverthrow'
 import type { LostCall, LostCallVerdict } from '../idempotency/lost-call.js'
@@ -18,6 +18,8 @@
 import { countOpenRequests, type CountedHandler } from './open-requests.js'
 import { BUFFERED_BODY_LIMIT_BYTES } from './request-body.js'
 import { HASHED_BODY_LIMIT_BYTES } from '../idempotency/request-hash.js'
+import { recalledRefusal } from './unsent-call.js'
+import { untilAborted } from './until-aborted.js'
 
 /** Returns the lists in force on this node; undefined until a control VM has confirmed them. */
 export type CurrentLists = () => ListsIndex | undefined
@@ -27,6 +29,8 @@
   lists: CurrentLists
   /** Refusal for new requests from callers while the node is stopping; undefined otherwise. */
   entryRefusal: () => Refusal | undefined
+  /** Aborts when requests that have not been sent to a target are refused. */
+  recalled: CancelSignal
   admission: EntryAdmission
   quotas: Quotas
   ledger: RetryLedger
@@ -137,8 +141,9 @@
     }
     if (deadline.remainingMs() <= 0) return refuse(req, res, root.requestId, deadlinePassed(), [], 0)
     const limit = admitted.claimKey === undefined ? BUFFERED_BODY_LIMIT_BYTES : HASHED_BODY_LIMIT_BYTES
-    const body = await receiveBody(req, parsed.bodyBytes, deadline.signal, limit)
-    if (body === undefined) return refuse(req, res, root.requestId, bodyMissing(), [], 0)
+    const { recalled } = options
+    const body = await untilAborted(receiveBody(req, parsed.bodyBytes, deadline.signal, limit), recalled)
+    if (body === undefined) return refuse(req, res, root.requestId, recalled.aborted ? recalledRefusal() : bodyMissing(), [], 0)
     const result = await forwarder.forward({
       root,
       service: parsed.service,
@@ -153,7 +158,8 @@
       traceFlags: parsed.trace?.flags ?? '00',
       claimKey: admitted.claimKey,
       // Calls of the local target belong to a call that a stopping node still completes.
-      ...(admitted.origin.kind === 'entry' ? { attemptRefusal: options.entryRefusal } : {})
+      attemptRefusal: admitted.origin.kind === 'entry' ? options.entryRefusal : () => recalled.aborted ? recalledRefusal() : undefined,
+      recalled
     })
     switch (result.kind) {
       case 'answer': {
@@ -195,6 +201,7 @@
       key: claimKey ?? '',
       token: lost.token,
       deadlineMs: deadline.deadlineMs,
+      signal: options.recalled,
       code: deadline.expired() ? 'deadline-exceeded' : 'target-lost'
     })
     if (resolved.kind === 'refuse') return refuse(req, res, root.requestId, resolved.refusal, attempts, regionBytes)
--- a/packages/node/src/calls/executor.ts
+++ b/packages/node/src/calls/executor.ts
@@ -1,10 +1,9 @@
 import {
-  HEADERS, notRun, unknownOutcome,
-  type CallEnd, type Clock, type Permit, type Refusal, type StoredResponse, type TargetGate
+  createCanceller, HEADERS, notRun, unknownOutcome,
+  type CallEnd, type CancelSignal, type Clock, type Permit, type Refusal, type StoredResponse, type TargetGate
 } from '@orioleslip/core'
 import type { RunningCall } from '../crashes/crash-detector.js'
 import { noCrashGuard, type ExecutorCrashes } from '../crashes/no-crash-guard.js'
-import { readAll } from '../links/byte-queue.js'
 import type { IncomingCall } from '../links/incoming-call.js'
 import type { CallHead, CallReport } from '../links/messages.js'
 import { isSameProcess, type Announcement, type LocalTarget } from '../target/local-target.js'
@@ -13,7 +12,8 @@
 import { defaultTargetHeaders } from './default-target-headers.js'
 import type { InboundCall, InboundCalls } from './inbound-calls.js'
 import { forwardResponse, type ResponseEnd } from './forward-response.js'
-import { receiveTargetBody } from './target-body.js'
+import { bodyCut, readUntilAborted, receiveTargetBody } from './target-body.js'
+import { trackUnsentCall, type UnsentCall } from './unsent-call.js'
 import type { GuardedRun, IdempotencyGuard } from '../idempotency/idempotency-guard.js'
 import { HASHED_BODY_LIMIT_BYTES, requestHashOf } from '../idempotency/request-hash.js'
 import { createNoticeReader, type TargetNotices } from '../target/target-notices.js'
@@ -30,6 +30,8 @@
   callRefusal: (head: CallHead) => Refusal | undefined
   /** Refusal for an accepted call that has waited and must not be sent to the target any more; undefined otherwise. */
   sendRefusal?: () => Refusal | undefined
+  /** Aborts when this node takes back all calls that it has not sent to the target; never by default. */
+  recalled?: CancelSignal
   /** Builds the headers sent to the target; by default those of orioleslip's own HTTP interface. */
   targetHeaders?: TargetHeaders
   /** True for a response whose headers show that it belongs to another call; its connection is closed and not used again. */
@@ -69,7 +71,7 @@
   const { targetHeaders = defaultTargetHeaders, isForeignResponse = () => false } = options
   const { checkResponse = () => ({ kind: 'ran' }), readNotices = createNoticeReader(HEADERS) } = options
   const { sendRefusal = () => undefined, onRefused = () => {}, onSent = () => {}, onNotices = () => {} } = options
-  const { onUnframed = () => {} } = options
+  const { onUnframed = () => {}, recalled = createCanceller().signal } = options
 
   /** Calls from nodes of earlier versions have no fingerprint by which they could be told apart. */
   const crashGuardOf = ({ fingerprint }: CallHead): GuardedCall =>
@@ -89,20 +91,20 @@
     call.refuse(refusal, report)
   }
 
-  const run = async (call: IncomingCall, deadline: CallDeadline, self: InboundCall): Promise<void> => {
-    const refuse = (refusal: Refusal) => refuseCall(call, refusal, reportOf(self))
+  const run = async (call: IncomingCall, deadline: CallDeadline, self: InboundCall, unsent: UnsentCall): Promise<void> => {
+    const refuse = (refusal: Refusal) => refuseCall(call, unsent.refusalOf(refusal), reportOf(self))
     const unavailable = options.callRefusal(call.head) ?? noTargetRefusal(call, target)
     if (unavailable !== undefined) return refuse(unavailable)
     if (deadline.remainingMs() <= 0) return refuse(notRun('deadline-exceeded', 'the deadline had passed when the call arrived'))
-    const prepared = await prepareCall(call, deadline)
+    const prepared = await prepareCall(call, deadline, unsent.signal)
     switch (prepared.kind) {
       case 'refused': return refuse(prepared.refusal)
       case 'replay': return replay(call, prepared.response, reportOf(self))
-      case 'ready': return execute({ call, deadline, self, bytes: prepared.body, guardedRun: prepared.guardedRun })
+      case 'ready': return execute({ call, deadline, self, unsent, bytes: prepared.body, guardedRun: prepared.guardedRun })
     }
   }
 
-  const prepareCall = async (call: IncomingCall, deadline: CallDeadline): Promise<Prepared> => {
+  const prepareCall = async (call: IncomingCall, deadline: CallDeadline, signal: CancelSignal): Promise<Prepared> => {
     const { head } = call
     if (head.claim === undefined) return { kind: 'ready', body: undefined, guardedRun: undefined }
     // Checks the level first: a call that the gate refuses after its key was claimed costs the key register two quorum rounds, one for the
@@ -112,7 +114,8 @@
       return { kind: 'refused', refusal: notRun('overloaded', `calls of priority ${head.root.priority} are refused below level ${Math.ceil(level)}`, 1) }
     }
     call.accept()
-    const bytes = head.bodyBytes === 0 ? new Uint8Array(0) : await readAll(call.body, HASHED_BODY_LIMIT_BYTES)
+    const bytes = head.bodyBytes === 0 ? new Uint8Array(0) : await readUntilAborted(call, HASHED_BODY_LIMIT_BYTES, signal)
+    if (bytes === 'cut') return { kind: 'refused', refusal: bodyCut() }
     if (bytes === undefined) return { kind: 'refused', refusal: notRun('body-too-large', `the body exceeds ${HASHED_BODY_LIMIT_BYTES} bytes`) }
     const decision = await guard.begin({
       customer: head.root.customer,
@@ -121,7 +124,7 @@
       opKey: head.opKey,
       requestHash: requestHashOf(head.method, `/${head.service}${head.path}`, bytes),
       deadlineMs: deadline.deadlineMs,
-      signal: deadline.signal
+      signal
     })
     switch (decision.kind) {
       case 'dispatch': return { kind: 'ready', body: bytes, guardedRun: decision.run }
@@ -139,16 +142,18 @@
     onNotices(sender, notices)
   }
 
+  const refuseUnsentCall = ({ call, self, unsent, guardedRun }: ReadyCall, refusal: Refusal): void => {
+    releaseClaim(guardedRun)
+    refuseCall(call, unsent.refusalOf(refusal), reportOf(self))
+  }
+
   const execute = async (ready: ReadyCall): Promise<void> => {
-    const { call, deadline, self, guardedRun } = ready
+    const { call, unsent } = ready
     const guarded = crashGuardOf(call.head)
     const { fingerprint, crashes } = guarded
-    const pending = crashes.admit(fingerprint, call.head.service, deadline.signal)
+    const pending = crashes.admit(fingerprint, call.head.service, unsent.signal)
     const admission = pending instanceof Promise ? await pending : pending
-    if (admission.kind === 'refused') {
-      releaseClaim(guardedRun)
-      return refuseCall(call, admission.refusal, reportOf(self))
-    }
+    if (admission.kind === 'refused') return refuseUnsentCall(ready, admission.refusal)
     try {
       await runAtTarget(ready, guarded, admission.asSuspect)
     } finally {
@@ -156,30 +161,25 @@
     }
   }
 
-  const runAtTarget = async (
-    { call, deadline, self, bytes, guardedRun }: ReadyCall, { fingerprint, crashes }: GuardedCall, asSuspect: boolean
-  ): Promise<void> => {
+  const runAtTarget = async (ready: ReadyCall, { fingerprint, crashes }: GuardedCall, asSuspect: boolean): Promise<void> => {
+    const { call, deadline, self, unsent, bytes, guardedRun } = ready
     const { head } = call
     const entered = await gate.enter({
       priority: head.root.priority,
       opKey: head.opKey,
       remainingMs: deadline.remainingMs(),
-      signal: deadline.signal
+      signal: unsent.signal
     })
-    if (entered.kind === 'refused') {
-      releaseClaim(guardedRun)
-      return refuseCall(call, entered.refusal, reportOf(self))
-    }
+    if (entered.kind === 'refused') return refuseUnsentCall(ready, entered.refusal)
     const { permit } = entered
     const refuseUnsent = (refusal: Refusal) => {
       permit.release({ kind: 'notSent' })
-      releaseClaim(guardedRun)
-      refuseCall(call, refusal, reportOf(self))
+      refuseUnsentCall(ready, refusal)
     }
-    const body = await receiveTargetBody(call, bytes)
+    const body = await receiveTargetBody(call, bytes, unsent.signal)
     if (body.isErr()) return refuseUnsent(body.error)
     const current = target.current()
-    if (deadline.signal.aborted) {
+    if (unsent.signal.aborted) {
       return refuseUnsent(notRun('deadline-exceeded', 'the call was cancelled or its deadline passed before it was sent to the target'))
     }
     if (current === undefined) return refuseUnsent(notRun('no-target', 'the target process has ended', 1))
@@ -188,6 +188,7 @@
     if (unavailable !== undefined) return refuseUnsent(unavailable)
     const crashRefusal = crashes.refusalBeforeSend(fingerprint, asSuspect)
     if (crashRefusal !== undefined) return refuseUnsent(crashRefusal)
+    unsent.done()
     const running = crashes.started(fingerprint, current.announcement)
     const startedMs = clock.nowMs()
     const latencyMs = () => clock.nowMs() - startedMs
@@ -257,9 +258,11 @@
         deadlineMs: deadline.deadlineMs,
         signal: deadline.signal
       })
-      run(call, deadline, self)
+      const unsent = trackUnsentCall(deadline.signal, [call.recalled, recalled])
+      run(call, deadline, self, unsent)
         .catch((err: unknown) => refuseCall(call, unknownOutcome('internal-error', `the executor failed: ${String(err)}`), reportOf(self)))
         .finally(() => {
+          unsent.done()
           deadline.done()
           inbound.close(self)
           // Cancels child calls that the target started for this call and did not wait for.
@@ -278,6 +281,7 @@
   call: IncomingCall
   deadline: CallDeadline
   self: InboundCall
+  unsent: UnsentCall
   /** Body of a non-repeatable call, which has been read already; undefined for repeatable calls. */
   bytes: Uint8Array | undefined
   guardedRun: GuardedRun | undefined
@@ -286,7 +290,7 @@
 /** Fingerprint of a call and the guard that judges it. */
 type GuardedCall = { fingerprint: number, crashes: ExecutorCrashes }
 
-type FailedCall = Omit<ReadyCall, 'bytes'> & {
+type FailedCall = Omit<ReadyCall, 'bytes' | 'unsent'> & {
   permit: Permit
   latencyMs: () => number
   reply: Extract<TargetReply, { kind: 'failed' }>
--- a/packages/node/src/calls/forwarder.test.ts
+++ b/packages/node/src/calls/forwarder.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { notRun, systemClock, unknownOutcome, type MemberRecord, type Operation, type Refusal, type RouteRequest } from '@orioleslip/core'
+import { createCanceller, notRun, systemClock, unknownOutcome, type MemberRecord, type Operation, type Refusal, type RouteRequest } from '@orioleslip/core'
 import { createLatencies } from '../limits/latencies.js'
 import type { PeerConnection } from '../links/connection.js'
 import { createOutgoingCall, type OutgoingCall } from '../links/outgoing-call.js'
@@ -45,7 +45,7 @@
 function scriptedPeer (ends: Array<(call: OutgoingCall) => void>) {
   let calls = 0
   const openCall: PeerConnection['openCall'] = (head) => {
-    const call = createOutgoingCall(head, () => {}, () => {})
+    const call = createOutgoingCall(head, () => {}, () => {}, () => {})
     const end = ends[calls++]!
     queueMicrotask(() => end(call))
     return call
@@ -74,6 +74,16 @@
   t.is(result.kind === 'refused' ? result.refusal.outcome : result.kind, 'not-run')
 })
 
+// Guards against a call that waits for the connection to a peer until the process ends, and is cut without an answer (review/8).
+test('a call that is recalled while its peer is being dialed is reported as not run', async (t) => {
+  const recall = createCanceller()
+  const { forward } = forwarderTo(() => new Promise(() => {}))
+  const forwarded = forward({ ...requestWithin(60_000), recalled: recall.signal })
+  recall.abort()
+  const result = await forwarded
+  t.is(result.kind === 'refused' ? result.refusal.outcome : result.kind, 'not-run')
+})
+
 // Guards against a caller that is told that its call did not run, because the last of several nodes refused it before it reached a target,
 // although an earlier one lost the response of a target that may have run it.
 test('a call whose first attempt may have run is never reported as not run', async (t) => {
--- a/packages/node/src/calls/forwarder.ts
+++ b/packages/node/src/calls/forwarder.ts
@@ -1,6 +1,6 @@
 import {
   unknownOutcome,
-  type Clock, type MemberRecord, type Operation, type Refusal, type RequestContext, type Router, type TargetVerdict
+  type CancelSignal, type Clock, type MemberRecord, type Operation, type Refusal, type RequestContext, type Router, type TargetVerdict
 } from '@orioleslip/core'
 import { fingerprintOf } from '../crashes/fingerprint.js'
 import type { ByteQueue } from '../links/byte-queue.js'
@@ -37,6 +37,8 @@
   claimKey: string | undefined
   /** Asked before each attempt: refusal while this node must not start any; undefined otherwise. */
   attemptRefusal?: () => Refusal | undefined
+  /** Aborts when this node takes back the calls that have not been sent to a target. */
+  recalled?: CancelSignal
 }
 
 /** One attempt at one VM, for the decision record. */
@@ -105,8 +107,9 @@
     if (member.vmId === options.self().vmId) return createLocalCall(head(), options.runLocally)
     const found = pool.get({ host: member.host, port: member.peerPort })
     if (!(found instanceof Promise)) return found.openCall(head(), callOptions)
-    const dialed = await untilAborted(found, signal)
-    if (dialed === undefined) return 'the deadline passed before the peer link to the node was open'
+    const inTime = untilAborted(found, signal)
+    const dialed = await (req.recalled === undefined ? inTime : untilAborted(inTime, req.recalled))
+    if (dialed === undefined) return 'the deadline passed, or this node stopped, before the peer link to the node was open'
     return dialed.isOk() ? dialed.value.openCall(head(), callOptions) : dialed.error.message
   }
 
@@ -117,8 +120,11 @@
     const cancel = () => call.cancel()
     if (req.deadline.signal.aborted) cancel()
     else req.deadline.signal.addEventListener('abort', cancel, { once: true })
+    if (req.recalled?.aborted === true) call.recall()
+    else req.recalled?.addEventListener('abort', call.recall, { once: true })
     sendBody(call, req.body, deferBody).catch(cancel)
     const reply = await call.reply
+    req.recalled?.removeEventListener('abort', call.recall)
     if (reply.kind === 'head') return { kind: 'answer', call, head: reply.head, body: reply.body }
     req.deadline.signal.removeEventListener('abort', cancel)
     return { kind: 'ended', call, reply }
--- a/packages/node/src/idempotency/lost-call.ts
+++ b/packages/node/src/idempotency/lost-call.ts
@@ -1,5 +1,5 @@
 import {
-  notRun, unknownOutcome, type Clock, type KeyId, type KeyRegister, type Refusal, type RefusalCode,
+  notRun, unknownOutcome, type CancelSignal, type Clock, type KeyId, type KeyRegister, type Refusal, type RefusalCode,
   type StoredResponse
 } from '@orioleslip/core'
 import { refusalOfFinished } from './refusals.js'
@@ -10,6 +10,8 @@
   token: string
   /** Deadline on this node's clock (`nowMs`). */
   deadlineMs: number
+  /** Aborts when the outcome can't be awaited any longer. */
+  signal?: CancelSignal
   /** Refusal code that states the reason of the loss. */
   code: Extract<RefusalCode, 'target-lost' | 'deadline-exceeded' | 'bad-answer' | 'draining'>
 }
@@ -28,14 +30,14 @@
  */
 export async function resolveLostCall (deps: { register: KeyRegister, clock: Clock }, call: LostCall): Promise<LostCallVerdict> {
   const { register, clock } = deps
-  const { customer, key, token, code } = call
+  const { customer, key, token, code, signal } = call
   const endMs = Math.max(call.deadlineMs, clock.nowMs() + FIRST_CANCEL_MS)
   const remainingMs = () => endMs - clock.nowMs()
   const backoff = createBackoff(25, 1000)
   let detail = 'the key register did not reply whether the call was dispatched'
 
-  while (remainingMs() > 0) {
-    const reply = await withTimeout(clock, remainingMs(), register.cancel({ customer, key }, token))
+  while (remainingMs() > 0 && signal?.aborted !== true) {
+    const reply = await withTimeout(clock, remainingMs(), register.cancel({ customer, key }, token), signal)
     if (reply?.isOk()) {
       const result = reply.value
       switch (result.kind) {
@@ -48,7 +50,7 @@
           detail = `${result.executorVm} dispatched the call and has recorded no outcome`
       }
     }
-    await clock.sleep(Math.min(backoff(), Math.max(0, remainingMs())))
+    await clock.sleep(Math.min(backoff(), Math.max(0, remainingMs())), signal)
   }
   return { kind: 'refuse', refusal: unknownOutcome(code, detail) }
 }
--- a/packages/node/src/links/connection.ts
+++ b/packages/node/src/links/connection.ts
@@ -10,6 +10,14 @@
 /** Number of consecutive checks without a byte from the peer after which it counts as silent, if it has open calls. */
 export const SILENT_CHECKS_LIMIT = 3
 
+/**
+ * Request to refuse the call of a stream unless it has been sent to the target. It is no message of the stream, since nodes of earlier
+ * versions close a connection with a message that they don't know.
+ */
+const RECALL = 'recall'
+/** Id of requests without a reply. */
+const NO_REPLY = 0
+
 const silenceChecks = createSilenceChecks(PING_INTERVAL_MS)
 
 /** A message that belongs to a call stream or to the connection itself. */
@@ -135,7 +143,11 @@
     callOpened()
     handlers.onCall(call, peerVm)
   }
+  const recallCall = (body: unknown) => {
+    if (typeof body === 'number') incoming.get(body)?.recall()
+  }
   const replyTo = async (id: number, kind: string, body: unknown) => {
+    if (kind === RECALL) return recallCall(body)
     const reply = await handlers.onRequest(kind, body, peerVm)
     write(0, { type: 'answer', id, body: reply })
   }
@@ -160,7 +172,7 @@
         outgoing.delete(stream)
         outlivesSilence.delete(call)
         callClosed()
-      })
+      }, () => write(0, { type: 'ask', id: NO_REPLY, kind: RECALL, body: stream }))
       if (closed) {
         call.lost(`the connection to ${peerVm} is closed`)
         return call
--- a/packages/node/src/links/incoming-call.ts
+++ b/packages/node/src/links/incoming-call.ts
@@ -9,6 +9,8 @@
   body: ByteQueue
   /** Aborts when the caller cancels the call or its connection closes. */
   signal: CancelSignal
+  /** Aborts when the caller asks for the call back, if it has not been sent to the target. */
+  recalled: CancelSignal
   accept: () => void
   respond: (head: ResponseHead) => void
   /** Sends response bytes; if a promise is returned, the sender should await it before it sends the next chunk. */
@@ -17,12 +19,14 @@
   /** Refuses the call, or aborts a response that has already begun. */
   refuse: (refusal: Refusal, report: CallReport) => void
   receive: (msg: StreamMessage) => void
+  recall: () => void
   lost: (message: string) => void
 }
 
 /** Creates the executor side of a call stream; `onClosed` is called once when the stream has ended. */
 export function createIncomingCall (head: CallHead, send: (msg: StreamMessage) => void, onClosed: () => void): IncomingCall {
   const abort = createCanceller()
+  const recalled = createCanceller()
   let ended = false
   const sendWindow = createSendWindow(STREAM_WINDOW_BYTES, (chunk) => { send({ type: 'responseData', chunk }) })
   const body = createByteQueue(createCreditReturn(CREDIT_STEP_BYTES, (bytes) => { if (!ended) send({ type: 'credit', bytes }) }))
@@ -42,6 +46,7 @@
     head,
     body,
     signal: abort.signal,
+    recalled: recalled.signal,
     accept: () => { if (!ended) send({ type: 'accept' }) },
     respond: (responseHead) => { if (!ended) send({ type: 'responseHead', head: responseHead }) },
     write: (chunk) => sendWindow.write(chunk),
@@ -65,6 +70,7 @@
           // These messages belong to the other direction; a peer that sends them here is ignored.
       }
     },
+    recall: () => { if (!ended) recalled.abort() },
     lost: abortCall
   }
 }
--- a/packages/node/src/links/local-call.ts
+++ b/packages/node/src/links/local-call.ts
@@ -9,7 +9,7 @@
     if (msg.type !== 'head') return incoming?.receive(msg)
     incoming = createIncomingCall(msg.head, (reply) => outgoing.receive(reply), () => {})
   }
-  const outgoing = createOutgoingCall(head, toIncoming, () => {})
+  const outgoing = createOutgoingCall(head, toIncoming, () => {}, () => incoming?.recall())
   if (incoming !== undefined) onCall(incoming)
   return outgoing
 }
--- a/packages/node/src/links/outgoing-call.ts
+++ b/packages/node/src/links/outgoing-call.ts
@@ -29,14 +29,21 @@
   /** Resolves after the last byte of the response; only meaningful if `reply` resolved with a head. */
   finish: Promise<CallFinish>
   cancel: () => void
+  /** Asks for a refusal of the call, unless it has been sent to the target; nodes of earlier versions ignore it. */
+  recall: () => void
   /** Number of body bytes sent and response bytes received, for the accounting of inter-region traffic. */
   bytes: () => { sent: number, received: number }
   receive: (msg: StreamMessage) => void
   lost: (message: string) => void
 }
 
-/** Opens a call stream; `send` sends messages to the executor side and `onClosed` is called once when the stream has ended. */
-export function createOutgoingCall (head: CallHead, send: (msg: StreamMessage) => void, onClosed: () => void): OutgoingCall {
+/**
+ * Opens a call stream; `send` sends messages to the executor side, `sendRecall` asks it for the call back, and `onClosed` is called once
+ * when the stream has ended.
+ */
+export function createOutgoingCall (
+  head: CallHead, send: (msg: StreamMessage) => void, onClosed: () => void, sendRecall: () => void
+): OutgoingCall {
   let sent = 0
   let received = 0
   let ended = false
@@ -75,6 +82,7 @@
       reply({ kind: 'cancelled' })
       finish({ kind: 'cancelled' })
     },
+    recall: () => { if (!ended) sendRecall() },
     bytes: () => ({ sent, received }),
     receive: (msg) => {
       if (ended) return
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -95,7 +95,8 @@
     target, availability, watch, clock, log, host: vm.address, members, pool: () => pool
   })
   const { callRefusal, sendRefusal, onSent, onNotices } = lifecycle
-  const executor = createExecutor({ target, gate, inbound, guard, crashes, clock, callRefusal, sendRefusal, onSent, onNotices })
+  const { recalled } = availability
+  const executor = createExecutor({ target, gate, inbound, guard, crashes, clock, callRefusal, sendRefusal, recalled, onSent, onNotices })
   const listener = await listenForPeers({
     address: peerAddress,
     identity: { fleetKey, vmId: vm.id },
@@ -121,6 +122,7 @@
     self: members.self,
     lists: () => poller.confirmed ? poller.current() : undefined,
     entryRefusal: availability.entryRefusal,
+    recalled,
     admission,
     quotas,
     ledger,
--- a/packages/node/src/routes/route-handler.ts
+++ b/packages/node/src/routes/route-handler.ts
@@ -1,13 +1,16 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import {
   bodyLength, endToEndHeaders, headerValue, newTraceId, notRun, REFUSALS, unknownOutcome,
-  type Clock, type MemberRecord, type Operation, type Refusal, type RefusalCode, type RequestContext, type Route, type RoutesIndex
+  type CancelSignal, type Clock, type MemberRecord, type Operation, type Refusal, type RefusalCode, type RequestContext, type Route,
+  type RoutesIndex
 } from '@orioleslip/core'
 import { err, ok, type Result } from 'neverthrow'
 import { writeRefusal, writeResponse } from '../calls/response-writer.js'
 import { refusalOfCut } from '../calls/attempt-result.js'
 import { startDeadline, type CallDeadline } from '../calls/call-deadline.js'
 import { endRequest } from '../calls/request-end.js'
+import { recalledRefusal } from '../calls/unsent-call.js'
+import { untilAborted } from '../calls/until-aborted.js'
 import { bodyMissing, bufferBody, deadlinePassed } from '../calls/entry-request.js'
 import { NO_REPORT, type AttemptRecord, type Forwarder, type ForwardResult } from '../calls/forwarder.js'
 import { countOpenRequests, type CountedHandler } from '../calls/open-requests.js'
@@ -43,6 +46,8 @@
   routes: () => RoutesIndex | undefined
   /** Refusal for requests that enter here while the node stops; undefined otherwise. */
   entryRefusal: () => Refusal | undefined
+  /** Aborts when requests that have not been sent to a target are refused. */
+  recalled: CancelSignal
   chooseDestination: DestinationChooser
   budget: RepeatBudget
   forwarder: Forwarder
@@ -94,8 +99,11 @@
   ): Promise<ForwardResult> => {
     const { route } = admitted
     if (deadline.remainingMs() <= 0) return { kind: 'refused', refusal: deadlinePassed(), attempts: [], report: NO_REPORT }
-    const body = await bufferBody(req, admitted.bodyBytes, deadline.signal, BUFFERED_BODY_BYTES)
-    if (body === undefined) return { kind: 'refused', refusal: bodyMissing(), attempts: [], report: NO_REPORT }
+    const { recalled } = options
+    const body = await untilAborted(bufferBody(req, admitted.bodyBytes, deadline.signal, BUFFERED_BODY_BYTES), recalled)
+    if (body === undefined) {
+      return { kind: 'refused', refusal: recalled.aborted ? recalledRefusal() : bodyMissing(), attempts: [], report: NO_REPORT }
+    }
     options.budget.firstSent(service)
     return await forwarder.forward({
       root,
@@ -114,7 +122,8 @@
       deadline,
       traceFlags: '00',
       claimKey: undefined,
-      attemptRefusal: options.entryRefusal
+      attemptRefusal: options.entryRefusal,
+      recalled
     })
   }
 
--- a/packages/node/src/server/drain.ts
+++ b/packages/node/src/server/drain.ts
@@ -1,4 +1,4 @@
-import { notRun, type Clock, type Refusal } from '@orioleslip/core'
+import { createCanceller, notRun, type CancelSignal, type Clock, type Refusal } from '@orioleslip/core'
 import type { InboundCalls } from '../calls/inbound-calls.js'
 import type { Announcement } from '../target/local-target.js'
 
@@ -23,6 +23,10 @@
   stop: () => void
   /** Records the state that the target has announced. */
   setTargetState: (state: Announcement['state']) => void
+  /** Aborts when calls that have not been sent to a target are taken back. */
+  recalled: CancelSignal
+  /** Takes back the calls that have not been sent to a target. */
+  recall: () => void
   /** Ends the acceptance of calls to a leaving target at once. */
   targetLeft: () => void
 }
@@ -35,6 +39,7 @@
   let stoppedMs: number | undefined
   let leavingMs: number | undefined
   let state: Announcement['state'] | undefined
+  const recalled = createCanceller()
   const hasElapsed = (sinceMs: number | undefined, delayMs: number) => sinceMs !== undefined && clock.nowMs() - sinceMs >= delayMs
   const sendRefusal = () => hasElapsed(leavingMs, leaveSpreadMs) ? notRun('draining', 'the target is leaving', 1) : undefined
   return {
@@ -52,6 +57,8 @@
       if (announcedState !== 'leaving') leavingMs = undefined
       else leavingMs ??= clock.nowMs()
     },
+    recalled: recalled.signal,
+    recall: recalled.abort,
     targetLeft: () => { leavingMs = -Infinity }
   }
 }
--- a/packages/node/src/server/planned-stop.ts
+++ b/packages/node/src/server/planned-stop.ts
@@ -13,7 +13,7 @@
   recordsWritten: () => Promise<void>
   /** Stops accepting callers; resolves when their open requests have ended. */
   requestsEnded: () => Promise<void>
-  /** Longest wait for calls in flight, in seconds. */
+  /** Longest wait for calls in flight after the leave has been disseminated, in seconds. */
   drainTimeoutS: number
   clock: Clock
   log: Logger
@@ -21,12 +21,21 @@
   stop: () => Promise<void>
 }
 
+/** Part of the drain in which calls may still be sent to their targets; the rest is for those that are at work there. */
+const SEND_SHARE = 0.5
 /** Longest wait until the key register has recorded the finished runs, in ms. */
 const RECORD_TIMEOUT_MS = 5000
-/** Longest wait for requests that arrived while the node was leaving the fleet, in ms. */
+/**
+ * Longest wait for requests that arrived while the node was leaving the fleet, in ms, and the part of it that may come after the end of the
+ * drain: whoever stops the process may end it soon after.
+ */
 const CLOSE_TIMEOUT_MS = 1000
+const CLOSE_AFTER_DRAIN_MS = 200
 
-/** Creates the planned stop of a node: new calls are refused, calls in flight complete, then the node leaves the fleet. */
+/**
+ * Creates the planned stop of a node: new calls are refused, those that still wait for a target later in the drain are taken back and
+ * refused, calls at their targets complete, then the node leaves the fleet.
+ */
 export function createPlannedStop (options: PlannedStopOptions): () => Promise<void> {
   const { availability, members, openWork, drainTimeoutS, clock, log } = options
   return async () => {
@@ -36,12 +45,17 @@
     await clock.sleep(LEAVE_DISSEMINATION_MS)
     // The node's last state is disseminated while calls complete, which keeps the stop short.
     const leaving = members.leave()
-    const left = await waitForOpenWork(openWork, drainTimeoutS * 1000, clock)
+    const drainEndMs = clock.nowMs() + drainTimeoutS * 1000
+    const waiting = await waitForOpenWork(openWork, drainTimeoutS * 1000 * SEND_SHARE, clock)
+    if (waiting > 0) log.info({ event: 'drain', left: waiting, drainTimeoutS }, 'calls that have not been sent to a target are refused as not run')
+    availability.recall()
+    const left = await waitForOpenWork(openWork, drainEndMs - clock.nowMs(), clock)
     if (left > 0) log.warn({ event: 'drain', left, drainTimeoutS }, 'the drain timeout has passed; calls in flight are aborted; raise node.drainTimeoutS')
     await Promise.race([options.recordsWritten(), clock.sleep(RECORD_TIMEOUT_MS)])
     await leaving
     // Requests that arrived since then are being refused; closing their connections would hide from callers that they did not run.
-    await Promise.race([options.requestsEnded(), clock.sleep(CLOSE_TIMEOUT_MS)])
+    const closeMs = Math.max(CLOSE_AFTER_DRAIN_MS, Math.min(CLOSE_TIMEOUT_MS, drainEndMs - clock.nowMs()))
+    await Promise.race([options.requestsEnded(), clock.sleep(closeMs)])
     await options.stop()
     log.info({ event: 'stop' }, 'node stopped')
   }
--- a/packages/node/src/testing/node-pair.ts
+++ b/packages/node/src/testing/node-pair.ts
@@ -1,6 +1,6 @@
 import {
-  createListsIndex, listsSchema, systemClock, systemRandom, type Lists, type MemberRecord, type QuotaVerdict, type RouteChoice,
-  type TargetGate
+  createCanceller, createListsIndex, listsSchema, systemClock, systemRandom,
+  type CancelSignal, type Lists, type MemberRecord, type QuotaVerdict, type RouteChoice, type TargetGate
 } from '@orioleslip/core'
 import { createEntryAdmission } from '../admission/entry-admission.js'
 import { createTargetGate } from '../admission/target-gate.js'
@@ -58,6 +58,8 @@
   quota?: QuotaVerdict
   /** Gate of the executor; `createTargetGate` by default. */
   gate?: TargetGate
+  /** Takes back the requests of the entry node; never by default. */
+  recalled?: CancelSignal
 }
 
 /** Starts an entry node and an executor node in this process, connected by a real peer link; membership, lists and register are fakes. */
@@ -117,6 +119,7 @@
     self: () => entry,
     lists: () => index,
     entryRefusal: () => undefined,
+    recalled: options.recalled ?? createCanceller().signal,
     admission: createEntryAdmission({ clock, random: systemRandom }),
     quotas: { take: () => options.quota ?? { kind: 'granted' }, grant: () => ({ tokens: 0, validMs: 0 }) },
     ledger,
