Remember withdrawals of targets that the node has not heard of

Cause: `withdraw` changed the current announcement only. A node that had just started knew none, acknowledged the withdrawal and kept nothing of it, so that an announcement sent before it, and late, was the first of a new target.

Change: the node remembers for a minute, for the last 64, which instances have withdrawn. An announcement of the withdrawn process is ignored: it is told from a later process of the same instance by its start, or, if nothing was known of it, by its age against the time since the withdrawal. A wrong clock keeps a target out for a minute at most. The same memory covers a withdrawn target that has been replaced and whose late announcement doesn't say when it started; before, it took the place of its successor.

Not covered, by reading: a withdrawal that is acknowledged by a process that ends soon after, whose successor knows nothing of it.

--- a/packages/node/src/target/local-target.ts
+++ b/packages/node/src/target/local-target.ts
@@ -1,6 +1,7 @@
 import { z } from 'zod'
-import { fnv1a, type PeerAddress } from '@orioleslip/core'
+import { fnv1a, systemClock, type PeerAddress } from '@orioleslip/core'
 import { createTargetClient, type TargetClient, type TargetClientOptions } from './target-client.js'
+import { createWithdrawals } from './withdrawals.js'
 
 /** Body of a target's announcement, `PUT /.well-known/orioleslip/target`. */
 export const announcementSchema = z.strictObject({
@@ -21,9 +22,9 @@
 
 /** The target on the VM of this node. */
 export type LocalTarget = {
-  /** Applies an announcement; false if it is older than the current one and was ignored. */
+  /** Applies an announcement; false if it is older than the current one, or its process has withdrawn, and it was ignored. */
   announce: (announcement: Announcement) => boolean
-  /** Marks the instance as leaving, whatever its late announcements say; false if another instance is current. */
+  /** Marks the instance as leaving, whatever its late announcements say, the first ones included; false if it is not the current one. */
   withdraw: (instance: string) => boolean
   /** Id of the current process if it has withdrawn; undefined otherwise. */
   leavingProcess: () => number | undefined
@@ -49,6 +50,7 @@
 export function createLocalTarget (host: string, options: TargetClientOptions = {}): LocalTarget {
   let active: { announcement: Announcement, client: TargetClient } | undefined
   let ended: Announcement | undefined
+  const withdrawals = createWithdrawals(options.clock ?? systemClock)
   let started: (capacity: number, sameProcess: boolean) => void = () => {}
   const hasEnded = (process: Announcement) => ended !== undefined && isSameProcess(ended, process)
   const replace = (announcement: Announcement) => {
@@ -63,6 +65,7 @@
     announce: (announcement) => {
       const previous = active?.announcement
       if (previous !== undefined && isOlder(announcement, previous)) return false
+      if (withdrawals.include(announcement)) return false
       if (previous === undefined || active === undefined) {
         replace(announcement)
         return true
@@ -73,8 +76,10 @@
       return true
     },
     withdraw: (instance) => {
-      if (active?.announcement.instance !== instance) return false
-      active.announcement = { ...active.announcement, state: 'leaving', sequence: WITHDRAWN_SEQUENCE }
+      const announced = active?.announcement.instance === instance ? active : undefined
+      withdrawals.add(instance, announced?.announcement)
+      if (announced === undefined) return false
+      announced.announcement = { ...announced.announcement, state: 'leaving', sequence: WITHDRAWN_SEQUENCE }
       return true
     },
     leavingProcess: () => active?.announcement.sequence === WITHDRAWN_SEQUENCE ? processIdOf(active.announcement) : undefined,
--- a/packages/node/src/target/target-lifecycle.ts
+++ b/packages/node/src/target/target-lifecycle.ts
@@ -89,7 +89,7 @@
       const accepted = target.announce(announcement)
       const { service, capacity, state, instance } = announcement
       if (!accepted) {
-        log.info({ event: 'announcement-ignored', instance, sequence: announcement.sequence }, 'ignored a target announcement that is older than the one in effect')
+        log.info({ event: 'announcement-ignored', instance, sequence: announcement.sequence }, 'ignored a target announcement that is older than the one in effect, or comes from a process that has withdrawn')
         return false
       }
       if (before?.instance !== instance || before.state !== state) {
