Take a response as framed only by a length or the coding "chunked"

Cause: `isFramed` took any Transfer-Encoding for framing, but only "chunked" has an end of its own. With the others the end of the connection is the only one, and a reset was asked about for unframed responses alone. A body in another coding was also passed on without the name of that coding.

Change: "identity" is handled as no framing; any other coding, or several, is refused (unknown outcome).

--- /dev/null
+++ b/packages/node/src/target/malformed-response.test.ts
@@ -0,0 +1,32 @@
+import test from 'ava'
+import { startFaultyTarget } from '../testing/faulty-target.js'
+
+/** Tries of each case, since the bytes before a reset arrive together with it or before. */
+const TRIES = 15
+
+const headOf = (id: string, coding: string) => `HTTP/1.1 200 OK\r\nX-Id: ${id}\r\nTransfer-Encoding: ${coding}\r\n\r\n`
+
+// Guards against a part of a body that passes for a whole one: a response with a coding other than "chunked" ends with its connection, so
+// that only the way in which the connection ends shows whether it is whole.
+for (const coding of ['identity', 'Identity', 'gzip', 'gzip, chunked, gzip']) {
+  test(`a response with the transfer coding ${coding} that is reset is never complete`, async (t) => {
+    const { call } = await startFaultyTarget(t, (socket, id) => {
+      socket.write(`${headOf(id, coding)}a part of the body`)
+      socket.resetAndDestroy()
+    })
+    for (let i = 0; i < TRIES; i++) t.like(await call(`cut-${i}`), { kind: 'refused', status: undefined, refusal: { outcome: 'unknown' } })
+  })
+}
+
+test('a response without a coding, by the name "identity", is returned when it is whole', async (t) => {
+  const { call } = await startFaultyTarget(t, (socket, id) => { socket.end(`${headOf(id, 'identity')}whole`) })
+  t.like(await call('a'), { kind: 'complete', status: 200, body: 'whole' })
+})
+
+// Guards against a body that is passed on in a coding which its caller is not told of.
+test('a response with a transfer coding that can\'t be decoded is refused, also when it is whole', async (t) => {
+  for (const coding of ['gzip', 'gzip, chunked']) {
+    const { call } = await startFaultyTarget(t, (socket, id) => { socket.end(`${headOf(id, coding)}2\r\nok\r\n0\r\n\r\n`) })
+    t.like(await call('a'), { kind: 'refused', status: undefined, refusal: { outcome: 'unknown' } }, coding)
+  }
+})
--- a/packages/node/src/target/response-handler.ts
+++ b/packages/node/src/target/response-handler.ts
@@ -4,6 +4,7 @@
 import type { CopyDetection } from './copy-detection.js'
 import type { CopyScanner, ScanResult } from './copy-scanner.js'
 import { COPY_MESSAGE, type ResponseEndCheck } from './response-end.js'
+import { framingOf } from './response-framing.js'
 import type { ResponseTransferState, TargetReply, TargetRequest } from './target-client.js'
 import type { ConnectedDispatchOptions, TargetConnection } from './target-connections.js'
 
@@ -93,7 +94,12 @@
         resolve({ kind: 'foreign' })
         return abort()
       }
-      framed = isFramed(req.method, status, raw)
+      const framing = framingOf(req.method, status, raw)
+      if (framing === 'unsupported') {
+        fail('the response has a transfer coding other than "chunked", so that its body can\'t be read')
+        return abort()
+      }
+      framed = framing === 'framed'
       closes = !framed || headerValue(raw, 'connection')?.toLowerCase() === 'close'
       scan = copies?.createScanner()
       if (!framed && !acceptUnframed) {
@@ -127,8 +133,3 @@
   if (!Array.isArray(raw)) return []
   return raw.map((item) => typeof item === 'string' ? item : item.toString('latin1'))
 }
-
-function isFramed (method: string, status: number, raw: string[]): boolean {
-  if (method === 'HEAD' || status === 204 || status === 304) return true
-  return headerValue(raw, 'content-length') !== undefined || headerValue(raw, 'transfer-encoding') !== undefined
-}
