Refuse responses whose status is above 599

Cause: undici rejects a status below 100, but takes any of three digits; nothing checked it behind that.

Change: a response with a status above 599 counts as broken (unknown outcome, 502). Test: "a response with a status outside of 100 to 599 is refused", which also has 000, 00, 0, 099, 20, 1000 and -1.

--- a/packages/node/src/target/malformed-response.test.ts
+++ b/packages/node/src/target/malformed-response.test.ts
@@ -30,3 +30,13 @@
     t.like(await call('a'), { kind: 'refused', status: undefined, refusal: { outcome: 'unknown' } }, coding)
   }
 })
+
+// Guards against a status that no client understands: a server in trouble sends it in the place of one.
+test('a response with a status outside of 100 to 599 is refused', async (t) => {
+  for (const status of ['000', '00', '0', '099', '20', '1000', '-1', '600', '999']) {
+    const { call } = await startFaultyTarget(t, (socket, id) => {
+      socket.write(`HTTP/1.1 ${status} OK\r\nX-Id: ${id}\r\nContent-Length: 2\r\n\r\nok`)
+    })
+    t.like(await call('a'), { kind: 'refused', status: undefined, refusal: { outcome: 'unknown' } }, status)
+  }
+})
--- a/packages/node/src/target/response-framing.ts
+++ b/packages/node/src/target/response-framing.ts
@@ -1,6 +1,6 @@
 import { headerValue } from '@orioleslip/core'
 
-/** What ends the body of a response: its length or last chunk (`framed`), its connection (`unframed`), or nothing that this node can read. */
+/** What ends the body of a response: its length or last chunk (`framed`), its connection (`unframed`), or something unknown to this node. */
 export type Framing = 'framed' | 'unframed' | 'unsupported'
 
 /** Returns the framing of a response from its raw headers. */
--- a/packages/node/src/target/response-handler.ts
+++ b/packages/node/src/target/response-handler.ts
@@ -25,6 +25,9 @@
 /** Number of response bytes buffered for a slow reader before the target's socket is paused. */
 const RESPONSE_BUFFER_BYTES = 256 * 1024
 
+/** Highest status of HTTP; undici itself rejects those below 100. */
+const MAX_STATUS = 599
+
 /** Creates the undici handler of one call; `resolve` gets its first result. */
 export function createResponseHandler (
   req: TargetRequest, resolve: (reply: TargetReply) => void, options: ResponseHandlerOptions
@@ -89,6 +92,10 @@
     },
     onResponseStart: (_controller, status, _headers) => {
       if (status < 200) return
+      if (status > MAX_STATUS) {
+        fail(`the response has the status ${status}, which is none of HTTP`)
+        return abort()
+      }
       const raw = toStrings(_controller.rawHeaders)
       if (req.isForeign?.(raw) === true) {
         resolve({ kind: 'foreign' })
