Refuse responses that don't start with "HTTP/1."

Cause: undici's parser takes 0.9 and 2.0 as well and does not tell the version.

Change: each connection to a target records the first bytes that come after a call is sent, and the response is refused (unknown outcome, 502) if they are others. The version behind interim responses is not seen by this.

--- a/packages/node/src/target/malformed-response.test.ts
+++ b/packages/node/src/target/malformed-response.test.ts
@@ -40,3 +40,14 @@
     t.like(await call('a'), { kind: 'refused', status: undefined, refusal: { outcome: 'unknown' } }, status)
   }
 })
+
+// Guards against bytes of another protocol that are taken for a response; the second response comes on a connection that is in use again.
+test('a response of another version than HTTP/1.0 or 1.1 is refused', async (t) => {
+  for (const version of ['HTTP/2.0', 'HTTP/0.9', 'HTTP/3.0', 'ICY/1.1']) {
+    const { call } = await startFaultyTarget(t, (socket, id, n) => {
+      socket.write(`${n === 1 ? '\r\nHTTP/1.1' : version} 200 OK\r\nX-Id: ${id}\r\nContent-Length: 2\r\n\r\nok`)
+    })
+    t.like(await call('a'), { kind: 'complete', body: 'ok' })
+    t.like(await call('b'), { kind: 'refused', status: undefined, refusal: { outcome: 'unknown' } }, version)
+  }
+})
--- a/packages/node/src/target/response-framing.ts
+++ b/packages/node/src/target/response-framing.ts
@@ -1,6 +1,6 @@
 import { headerValue } from '@orioleslip/core'
 
-/** What ends the body of a response: its length or last chunk (`framed`), its connection (`unframed`), or something unknown to this node. */
+/** What ends the body of a response: its length or last chunk (`framed`), its connection (`unframed`), or something that is not known here. */
 export type Framing = 'framed' | 'unframed' | 'unsupported'
 
 /** Returns the framing of a response from its raw headers. */
--- a/packages/node/src/target/response-handler.ts
+++ b/packages/node/src/target/response-handler.ts
@@ -6,7 +6,7 @@
 import { COPY_MESSAGE, type ResponseEndCheck } from './response-end.js'
 import { framingOf } from './response-framing.js'
 import type { ResponseTransferState, TargetReply, TargetRequest } from './target-client.js'
-import type { ConnectedDispatchOptions, TargetConnection } from './target-connections.js'
+import { VERSION_START, type ConnectedDispatchOptions, type TargetConnection } from './target-connections.js'
 
 /** Dependencies of `createResponseHandler`. */
 export type ResponseHandlerOptions = {
@@ -78,6 +78,7 @@
       connection = connectionOf?.()
       if (connection !== undefined) {
         connection.calls++
+        connection.responseStart = ''
         connection.onClosing = () => {
           isClosing = true
           resume()
@@ -92,6 +93,10 @@
     },
     onResponseStart: (_controller, status, _headers) => {
       if (status < 200) return
+      if (connection !== undefined && connection.responseStart !== VERSION_START) {
+        fail(`the response starts with "${connection.responseStart}" in place of "${VERSION_START}"`)
+        return abort()
+      }
       if (status > MAX_STATUS) {
         fail(`the response has the status ${status}, which is none of HTTP`)
         return abort()
--- a/packages/node/src/target/target-connections.ts
+++ b/packages/node/src/target/target-connections.ts
@@ -7,6 +7,8 @@
   calls: number
   /** How it has ended: `closed` in order, or `reset`, also by an error of this node. */
   end: 'open' | 'closed' | 'reset'
+  /** The first bytes that came since the last call was sent, without line ends before them, as far as they tell the version of HTTP. */
+  responseStart: string
   /** Called when the target has closed the connection in order, before undici handles that; a paused response has to be resumed here. */
   onClosing: () => void
 }
@@ -18,6 +20,8 @@
 }
 
 const CONNECT_TIMEOUT_MS = 1000
+/** What each response starts with. */
+export const VERSION_START = 'HTTP/1.'
 
 /** The connections to one target. */
 export type TargetConnections = {
@@ -39,6 +43,7 @@
       if (socket !== undefined) {
         connection = newConnection()
         watchEnd(socket, connection, open)
+        watchStart(socket, connection)
       }
       callback(...result)
     })
@@ -53,7 +58,23 @@
   return { factory, open: () => [...open] }
 }
 
-const newConnection = (): TargetConnection => ({ calls: 0, end: 'open', onClosing: () => {} })
+const LINE_END = Buffer.from('\r\n')
+
+const newConnection = (): TargetConnection => ({ calls: 0, end: 'open', responseStart: '', onClosing: () => {} })
+
+/** Records how each response starts; undici does not tell the version of HTTP, and takes any. */
+function watchStart (socket: Socket, connection: TargetConnection): void {
+  const read = socket.read.bind(socket)
+  socket.read = (size) => {
+    const chunk = read(size) as Buffer | null
+    const missing = VERSION_START.length - connection.responseStart.length
+    if (chunk !== null && missing > 0) {
+      const at = connection.responseStart === '' ? chunk.findIndex((byte) => !LINE_END.includes(byte)) : 0
+      if (at >= 0) connection.responseStart += chunk.toString('latin1', at, at + missing)
+    }
+    return chunk
+  }
+}
 
 /** Records how the connection ends. undici treats a reset as the end of a response without a length; these listeners run before its own. */
 function watchEnd (socket: Socket, connection: TargetConnection, open: Set<TargetConnection>): void {
