Close connections in order behind a response that comes early in an upload

Cause: behind a response that closes its connection, Node.js destroys the socket once the response is written; body bytes that arrive after that make the kernel reset the connection.

The time runs on the socket now, so that a client that ends its body and stays does not keep the connection half-open.

This commit also shortens a comment in response-framing.ts.

--- a/packages/node/src/calls/request-end.ts
+++ b/packages/node/src/calls/request-end.ts
@@ -24,9 +24,10 @@
  * Ends the connection of a request whose body still arrives. Body bytes behind its close would reset it, and the client would lose what it
  * has not read of the response; they are discarded until the client closes its side.
  */
-function closeWhileReceiving (req: IncomingMessage): void {
-  req.socket.end()
+export function closeWhileReceiving (req: IncomingMessage): void {
+  const { socket } = req
+  socket.end()
   discardRequestBody(req)
-  const timer = setTimeout(() => req.destroy(), LINGER_MS)
-  req.once('close', () => clearTimeout(timer))
+  const timer = setTimeout(() => socket.destroy(), LINGER_MS)
+  socket.once('close', () => clearTimeout(timer))
 }
--- a/packages/node/src/calls/response-writer.test.ts
+++ b/packages/node/src/calls/response-writer.test.ts
@@ -60,3 +60,34 @@
   server.abort()
   await server.drain()
 })
+
+/** Body of an upload, which a client goes on sending for a while after its response has arrived. */
+const UPLOAD_BYTES = 30 * 1024 * 1024
+
+/** Uploads a body to a server that responds at once, and returns the body of the response and whether the connection was reset. */
+async function uploadToEarlyResponse (port: number): Promise<{ text: string, isReset: boolean }> {
+  const socket = connect(port, host)
+  let text = ''
+  let isReset = false
+  socket.on('data', (chunk) => { text += chunk.toString() })
+  socket.on('error', () => { isReset = true })
+  socket.write(`PUT /a HTTP/1.1\r\nhost: x\r\ncontent-length: ${UPLOAD_BYTES}\r\n\r\n`)
+  socket.write(Buffer.alloc(UPLOAD_BYTES))
+  await new Promise((resolve) => socket.once('close', resolve))
+  return { text: text.slice(text.indexOf('\r\n\r\n') + 4), isReset }
+}
+
+// Guards against a whole response that its client takes for a cut one: only the orderly end of the connection shows that it is whole, and a
+// connection that is closed while body bytes arrive is reset.
+test('a response without a length that comes early in an upload ends in order', async (t) => {
+  const respond = async (_req: IncomingMessage, res: ServerResponse) => {
+    const body = createByteQueue(() => {})
+    body.push(Buffer.from('stored'))
+    body.end()
+    const finish = Promise.resolve({ kind: 'complete' as const, report: { pathLevel: 0, regionBytes: 0 } })
+    await writeResponse(res, { status: 200, headers: [], unframed: true }, body, finish, [])
+  }
+  const server = await startCallerServer({ host, port: 0 }, respond, respond)
+  for (let i = 0; i < 5; i++) t.deepEqual(await uploadToEarlyResponse(server.port), { text: 'stored', isReset: false })
+  await server.drain()
+})
--- a/packages/node/src/server/caller-connections.ts
+++ b/packages/node/src/server/caller-connections.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import { bodyLength, type Clock } from '@orioleslip/core'
+import { closeWhileReceiving } from '../calls/request-end.js'
 import { closeWithRefusal } from './malformed-bytes.js'
 
 /** A caller's connection that has ended before each of its requests got a whole response. */
@@ -26,6 +27,8 @@
 
 type Connection = {
   open: Set<IncomingMessage>
+  /** The request whose response is, or was last, written. */
+  current: IncomingMessage | undefined
   waiting: number
   /** True if the last waiting request has a body, of which nothing is read before its turn. */
   hasWaitingBody: boolean
@@ -36,6 +39,16 @@
   refuse: (() => void) | undefined
 }
 
+/** Replaces how Node.js closes the connection behind a response: a client that is still sending the body would get a reset. */
+function closeInOrder (socket: Socket, connection: Connection): void {
+  const destroySoon = socket.destroySoon.bind(socket)
+  socket.destroySoon = () => {
+    const { current } = connection
+    if (current === undefined || current.complete) destroySoon()
+    else closeWhileReceiving(current)
+  }
+}
+
 /**
  * Creates the order, in which the requests of a connection are handled one after the other: a response may have to end the connection, and
  * then a request behind it that has been passed on runs without a response, while one that has not can be sent again. `onUnanswered` is
@@ -48,9 +61,10 @@
     const known = connections.get(socket)
     if (known !== undefined) return known
     const connection: Connection = {
-      open: new Set(), waiting: 0, hasWaitingBody: false, byResponse: false, last: undefined, refuse: undefined
+      open: new Set(), current: undefined, waiting: 0, hasWaitingBody: false, byResponse: false, last: undefined, refuse: undefined
     }
     connections.set(socket, connection)
+    closeInOrder(socket, connection)
     socket.once('close', () => {
       const { open, waiting, byResponse } = connection
       if (open.size + waiting > 0) onUnanswered({ unanswered: [...open], unread: waiting, byResponse })
@@ -66,6 +80,7 @@
 
   const start = (connection: Connection, req: IncomingMessage, res: ServerResponse, handler: () => void): void => {
     connection.open.add(req)
+    connection.current = req
     res.once('finish', () => {
       connection.open.delete(req)
       connection.byResponse = !res.shouldKeepAlive
--- a/packages/node/src/target/response-framing.ts
+++ b/packages/node/src/target/response-framing.ts
@@ -1,6 +1,6 @@
 import { headerValue } from '@orioleslip/core'
 
-/** What ends the body of a response: its length or last chunk (`framed`), its connection (`unframed`), or something that is not known here. */
+/** What ends the body of a response: a length or a last chunk (`framed`), its connection (`unframed`), or something not known here. */
 export type Framing = 'framed' | 'unframed' | 'unsupported'
 
 /** Returns the framing of a response from its raw headers. */
