--- a/packages/node/src/target/copy-scanner.ts
+++ b/packages/node/src/target/copy-scanner.ts
@@ -1,5 +1,5 @@
 import { createHeaderLineReader } from './header-line-reader.js'
-import { createStatusLineMatcher } from './status-line-matcher.js'
+import { createStatusLineMatcher, VERSION_START } from './status-line-matcher.js'
 
 /**
  * What a body contains: the head of a response to a known call (`copy`), at its end so far a status line with the start of its headers
@@ -18,7 +18,6 @@
   isKnownId: (id: string) => boolean
 }
 
-const VERSION = 'HTTP/1.'
 const STATUS_LINE_START_BYTES = 'HTTP/1.1 200'.length
 const LINE_FEED = 10
 /** Longest head that is recognised, in bytes. */
@@ -80,6 +79,6 @@
 
 /** Returns where the next status line may start, or a later byte that is not behind its start, in the bytes from `at` on. */
 function skipText (bytes: Buffer, at: number): number {
-  const found = bytes.indexOf(VERSION, at)
-  return found >= 0 ? found : Math.max(at, bytes.length - VERSION.length + 1)
+  const found = bytes.indexOf(VERSION_START, at)
+  return found >= 0 ? found : Math.max(at, bytes.length - VERSION_START.length + 1)
 }
--- a/packages/node/src/target/status-line-matcher.ts
+++ b/packages/node/src/target/status-line-matcher.ts
@@ -8,6 +8,9 @@
   hasPart: () => boolean
 }
 
+/** What each status line starts with. */
+export const VERSION_START = 'HTTP/1.'
+
 /** What each byte of the start may be. */
 const START = [/H/, /T/, /T/, /P/, /\//, /1/, /\./, /[01]/, / /, /[1-5]/, /\d/, /\d/].map(createByteSet)
 
--- a/packages/node/src/target/target-connections.ts
+++ b/packages/node/src/target/target-connections.ts
@@ -1,5 +1,6 @@
 import type { Socket } from 'node:net'
 import { buildConnector, Client, type Dispatcher } from 'undici'
+import { VERSION_START } from './status-line-matcher.js'
 
 /** A connection to the target, with what is known of its use and its end. */
 export type TargetConnection = {
@@ -20,8 +21,6 @@
 }
 
 const CONNECT_TIMEOUT_MS = 1000
-/** What each response starts with. */
-export const VERSION_START = 'HTTP/1.'
 
 /** The connections to one target. */
 export type TargetConnections = {
