Log where a call waited before it was sent to its target

Change: the heads of calls carry the time of their sender, and the receiver takes the time beyond the fastest transfer of late as the wait on the way; clocks of two machines are never compared. Turns of the event loop bound the time for which a socket was left unread. New lines: call-delayed and stalled (with the processor time, which tells a busy process from one that did not run); new fields of call-refused and request. No decision depends on them yet.

Nodes of earlier versions ignore the further value of a head, and send none.

--- a/packages/node/src/calls/executor.ts
+++ b/packages/node/src/calls/executor.ts
@@ -40,8 +40,8 @@
   checkResponse?: (reply: Pick<TargetHead, 'status' | 'headers'>) => ResponseCheck
   /** Reads what the target says of itself in a response; by default in the headers of orioleslip's own HTTP interface. */
   readNotices?: (headers: readonly string[]) => TargetNotices
-  /** Called for each call that is sent to the target. */
-  onSent?: () => void
+  /** Called for each call that is sent to the target, with its waits until then. */
+  onSent?: (call: IncomingCall, waits: SendWaits) => void
   /** Called for each response of the announced target process. */
   onNotices?: (announcement: Announcement, notices: TargetNotices) => void
   /** Called for each call refused here, with the load that the decision was based on. */
@@ -50,6 +50,9 @@
   onUnframed?: (call: IncomingCall, response: UnframedResponse) => void
 }
 
+/** Waits of a call before it was sent to the target, in ms: on its way from the other node, and at this one since its head was read. */
+export type SendWaits = { linkMs: number, heldMs: number }
+
 /** A response without a length, which ends with its connection. */
 export type UnframedResponse = ResponseTransferState & { end: ResponseEnd, latencyMs: number }
 
@@ -192,7 +195,7 @@
     const running = crashes.started(fingerprint, current.announcement)
     const startedMs = clock.nowMs()
     const latencyMs = () => clock.nowMs() - startedMs
-    onSent()
+    onSent(call, { linkMs: call.waitedMs, heldMs: startedMs - self.openedMs })
     const reply = await current.client.run({
       method: head.method,
       path: head.path,
--- a/packages/node/src/calls/inbound-calls.ts
+++ b/packages/node/src/calls/inbound-calls.ts
@@ -8,6 +8,8 @@
   /** Span that the target sees as its parent. */
   spanId: string
   traceFlags: string
+  /** Monotonic time at which the head of the call was read, in ms. */
+  openedMs: number
   /** Monotonic time of the deadline, in ms. */
   deadlineMs: number
   /** Aborts when the caller disconnects or the deadline passes. */
@@ -57,11 +59,12 @@
       let regionBytes = 0
       let refusedChildren = 0
       let openChildren = 0
-      let openedMs = 0
+      let childrenSinceMs = 0
       let waitedMs = 0
       const call: InboundCall = {
         ...fields,
         spanId: newSpanId(),
+        openedMs: nowMs(),
         addChild: (report) => {
           level = Math.max(level, report.pathLevel)
           regionBytes += report.regionBytes
@@ -69,10 +72,10 @@
         childRefused: () => { refusedChildren++ },
         anyChildRefused: () => refusedChildren > 0,
         childStarted: () => {
-          if (openChildren++ === 0) openedMs = nowMs()
-          return () => { if (--openChildren === 0) waitedMs += nowMs() - openedMs }
+          if (openChildren++ === 0) childrenSinceMs = nowMs()
+          return () => { if (--openChildren === 0) waitedMs += nowMs() - childrenSinceMs }
         },
-        downstreamMs: () => waitedMs + (openChildren > 0 ? nowMs() - openedMs : 0),
+        downstreamMs: () => waitedMs + (openChildren > 0 ? nowMs() - childrenSinceMs : 0),
         childLevel: () => level,
         childRegionBytes: () => regionBytes
       }
--- a/packages/node/src/links/compact.ts
+++ b/packages/node/src/links/compact.ts
@@ -1,5 +1,7 @@
 import type { LoadReport, Refusal } from '@orioleslip/core'
-import type { CallHead, CallReport } from './messages.js'
+import type { CallHead, CallReport, StreamMessage } from './messages.js'
+
+type HeadMessage = Omit<Extract<StreamMessage, { type: 'head' }>, 'type'>
 
 /** A call head as a list of values: field names would be most of its bytes, and traffic between failure domains is billed by the byte. */
 export type CompactHead = [
@@ -8,8 +10,8 @@
   ...call: [service: string, method: string, path: string, headers: string[], opKey: string],
   ...terms: [remainingMs: number, traceFlags: string, deferBody: boolean],
   ...optional: [bodyBytes: number | null, claimKey: string | null, claimToken: string | null],
-  /** Absent from nodes of earlier versions, which know no fingerprint. */
-  ...recent: [] | [leavingProcess: number | null] | [leavingProcess: number | null, fingerprint: number]
+  /** Nodes of earlier versions send fewer of these. */
+  ...recent: [leavingProcess?: number | null, fingerprint?: number | null, sentMs?: number | null]
 ]
 
 /** A report as a list of values. */
@@ -27,25 +29,25 @@
 /** A refusal and its report as a list of values. */
 export type CompactRefusal = [refusal: Refusal, report: CompactReport]
 
-/** Converts a call head to a list of values. */
-export function packHead (head: CallHead): CompactHead {
+/** Converts a call head and the time at which it was stamped to a list of values. */
+export function packHead ({ head, sentMs }: HeadMessage): CompactHead {
   const { root: { requestId, traceId, customer, entryOpKey, priority, ledger, region }, claim } = head
   const { service, method, path, headers, opKey, remainingMs, traceFlags, deferBody, bodyBytes } = head
-  const { leavingProcess = null, fingerprint } = head
+  const { leavingProcess = null, fingerprint = null } = head
   return [
     requestId, traceId, customer, entryOpKey, priority, ledger.host, ledger.port, region,
     service, method, path, headers, opKey, remainingMs, traceFlags, deferBody,
     bodyBytes ?? null, claim?.key ?? null, claim?.token ?? null,
-    ...(fingerprint === undefined ? [leavingProcess] as const : [leavingProcess, fingerprint] as const)
+    leavingProcess, fingerprint, sentMs ?? null
   ]
 }
 
-/** Converts a list of values back to a call head. */
-export function unpackHead (values: CompactHead): CallHead {
+/** Converts a list of values back to a call head and its time. */
+export function unpackHead (values: CompactHead): HeadMessage {
   const [requestId, traceId, customer, entryOpKey, priority, host, port, region, ...call] = values
   const [service, method, path, headers, opKey, remainingMs, traceFlags, deferBody, bodyBytes, key, token, ...recent] = call
-  const [leavingProcess = null, fingerprint] = recent
-  return {
+  const [leavingProcess = null, fingerprint = null, sentMs = null] = recent
+  const head: CallHead = {
     root: { requestId, traceId, customer, entryOpKey, priority, ledger: { host, port }, region },
     service,
     method,
@@ -57,9 +59,10 @@
     deferBody,
     ...(bodyBytes === null ? {} : { bodyBytes }),
     ...(leavingProcess === null ? {} : { leavingProcess }),
-    ...(fingerprint === undefined ? {} : { fingerprint }),
+    ...(fingerprint === null ? {} : { fingerprint }),
     ...(key === null || token === null ? {} : { claim: { key, token } })
   }
+  return sentMs === null ? { head } : { head, sentMs }
 }
 
 /** Converts a report to a list of values. */
--- a/packages/node/src/links/connection.ts
+++ b/packages/node/src/links/connection.ts
@@ -1,9 +1,11 @@
 import type { Socket } from 'node:net'
 import { createFrameDecoder, encodeFrame, type ConnectionMessage, type Frame } from './frames.js'
 import { createIncomingCall, type IncomingCall } from './incoming-call.js'
+import { createLinkDelay, stampMs, type LinkDelay } from './link-delay.js'
 import type { CallHead, StreamMessage } from './messages.js'
 import { createOutgoingCall, type OutgoingCall } from './outgoing-call.js'
 import { createSilenceChecks } from './silence-checks.js'
+import { processReads } from '../net/socket-reads.js'
 
 /** Interval of the check for a silent peer, in ms. */
 export const PING_INTERVAL_MS = 1000
@@ -81,8 +83,10 @@
   }
 }
 
-/** Creates a connection from a socket whose handshake is complete. */
-export function createPeerConnection (socket: Socket, peerVm: string, handlers: ConnectionHandlers): PeerConnection {
+/** Creates a connection from a socket whose handshake is complete; `delay` measures how long the calls of the peer wait on their way. */
+export function createPeerConnection (
+  socket: Socket, peerVm: string, handlers: ConnectionHandlers, delay: LinkDelay = createLinkDelay()
+): PeerConnection {
   const outgoing = new Map<number, OutgoingCall>()
   const incoming = new Map<number, IncomingCall>()
   const outlivesSilence = new Set<OutgoingCall>()
@@ -134,11 +138,12 @@
     if (outgoing.size + incoming.size === 0 && !silent) silenceChecks.remove(checkSilence)
   }
 
-  const receiveCall = (stream: number, head: CallHead) => {
-    const call = createIncomingCall(head, (msg) => write(stream, msg), () => {
+  const receiveCall = (stream: number, { head, sentMs }: Extract<StreamMessage, { type: 'head' }>) => {
+    const onClosed = () => {
       incoming.delete(stream)
       callClosed()
-    })
+    }
+    const call = createIncomingCall(head, (msg) => write(stream, msg), onClosed, sentMs === undefined ? 0 : delay.waitedMs(sentMs))
     incoming.set(stream, call)
     callOpened()
     handlers.onCall(call, peerVm)
@@ -168,7 +173,8 @@
     peerVm,
     openCall: (head, options) => {
       const stream = nextStream++
-      const call = createOutgoingCall(head, (msg) => write(stream, msg), () => {
+      const send = (msg: StreamMessage) => write(stream, msg.type === 'head' ? { ...msg, sentMs: stampMs() } : msg)
+      const call = createOutgoingCall(head, send, () => {
         outgoing.delete(stream)
         outlivesSilence.delete(call)
         callClosed()
@@ -199,7 +205,7 @@
     receive: ({ stream, msg }) => {
       silentChecks = 0
       if (stream === 0) return receiveConnectionMessage(msg)
-      if (msg.type === 'head') return receiveCall(stream, msg.head)
+      if (msg.type === 'head') return receiveCall(stream, msg)
       // Looks in both maps: the dialing side has only outgoing calls, the listening side only incoming ones.
       outgoing.get(stream)?.receive(msg as StreamMessage)
       incoming.get(stream)?.receive(msg as StreamMessage)
@@ -213,6 +219,7 @@
 ): void {
   const decode = createFrameDecoder(onFrame, maxFrameBytes)
   socket.on('data', (chunk: Buffer) => {
+    processReads.noteRead()
     try {
       decode(chunk)
     } catch (err) {
--- a/packages/node/src/links/dial.ts
+++ b/packages/node/src/links/dial.ts
@@ -4,6 +4,7 @@
 import { createFrameWriter, createPeerConnection, readFrames, type ConnectionHandlers, type PeerConnection } from './connection.js'
 import { MAX_FRAME_BYTES, MAX_HANDSHAKE_FRAME_BYTES, type Frame } from './frames.js'
 import { createHandshake } from './handshake.js'
+import { stampMs } from './link-delay.js'
 
 /** Timeout of the connect and of the handshake, each, in ms; enough for several round trips between regions with 20 ms one-way latency. */
 export const DIAL_TIMEOUT_MS = 1000
@@ -61,6 +62,6 @@
     socket.on('error', (cause) => fail(cause.message))
     socket.on('close', () => fail('the peer closed the connection'))
     readFrames(socket, onFrame, fail, () => connection === undefined ? MAX_HANDSHAKE_FRAME_BYTES : MAX_FRAME_BYTES)
-    write(0, handshake.hello())
+    write(0, { ...handshake.hello(), sentMs: stampMs() })
   })
 }
--- a/packages/node/src/links/frames.test.ts
+++ b/packages/node/src/links/frames.test.ts
@@ -36,6 +36,7 @@
   deferBody: fc.boolean(),
   bodyBytes: fc.nat(),
   leavingProcess: fc.nat(),
+  fingerprint: fc.nat(),
   claim: fc.record({ key: fc.string(), token: fc.string() })
 }, { requiredKeys: ['root', 'service', 'method', 'path', 'headers', 'opKey', 'remainingMs', 'traceFlags', 'deferBody'] })
 
@@ -45,7 +46,7 @@
     bytesArb.map((chunk) => ({ type: 'data' as const, chunk })),
     bytesArb.map((chunk) => ({ type: 'responseData' as const, chunk })),
     fc.constant({ type: 'end' as const }),
-    headArb.map((head) => ({ type: 'head' as const, head })),
+    fc.record({ type: fc.constant('head' as const), head: headArb, sentMs: fc.nat() }, { requiredKeys: ['type', 'head'] }),
     reportArb.map((report) => ({ type: 'responseEnd' as const, report })),
     fc.record({ type: fc.constant('refuse' as const), refusal: refusalArb, report: reportArb }),
     fc.nat().map((bytes) => ({ type: 'credit' as const, bytes })),
--- a/packages/node/src/links/frames.ts
+++ b/packages/node/src/links/frames.ts
@@ -13,7 +13,8 @@
 
 /** Messages of a connection outside calls, sent on stream 0. An `ask` is a request and an `answer` its reply, matched by `id`. */
 export type ConnectionMessage =
-  | { type: 'hello', vmId: string, nonce: Uint8Array }
+  /** `sentMs` as on the head of a call. */
+  | { type: 'hello', vmId: string, nonce: Uint8Array, sentMs?: number }
   | { type: 'welcome', vmId: string, nonce: Uint8Array, proof: Uint8Array }
   | { type: 'proof', proof: Uint8Array }
   | { type: 'ask', id: number, kind: string, body: unknown }
@@ -60,7 +61,7 @@
   switch (msg.type) {
     case 'data': case 'responseData': return msg.chunk
     case 'accept': case 'end': case 'cancel': case 'ping': case 'pong': return undefined
-    case 'head': return packr.pack(packHead(msg.head))
+    case 'head': return packr.pack(packHead(msg))
     case 'responseHead': return packr.pack(msg.head)
     case 'responseEnd': return packr.pack(packReport(msg.report))
     case 'refuse': return packr.pack([msg.refusal, packReport(msg.report)])
@@ -73,7 +74,7 @@
     case 'data': return { type, chunk: payload }
     case 'responseData': return { type, chunk: payload }
     case 'accept': case 'end': case 'cancel': case 'ping': case 'pong': return { type }
-    case 'head': return { type, head: unpackHead(packr.unpack(payload) as CompactHead) }
+    case 'head': return { type, ...unpackHead(packr.unpack(payload) as CompactHead) }
     case 'responseHead': return { type, head: packr.unpack(payload) as ResponseHead }
     case 'responseEnd': return { type, report: unpackReport(packr.unpack(payload) as CompactReport) }
     case 'refuse': {
--- a/packages/node/src/links/handshake.ts
+++ b/packages/node/src/links/handshake.ts
@@ -23,7 +23,7 @@
     verifySignature(fleetKey, Buffer.concat([Buffer.from(`orioleslip ${role} `), dialerNonce, listenerNonce]), proof)
   return {
     /** First message of the dialing side. */
-    hello: (): ConnectionMessage => ({ type: 'hello', vmId, nonce }),
+    hello: () => ({ type: 'hello' as const, vmId, nonce }),
     /** Reply of the listening side, with its proof. */
     welcome: (hello: { nonce: Uint8Array }): ConnectionMessage =>
       ({ type: 'welcome', vmId, nonce, proof: createProof('listener', hello.nonce, nonce) }),
--- a/packages/node/src/links/incoming-call.ts
+++ b/packages/node/src/links/incoming-call.ts
@@ -6,6 +6,8 @@
 /** Executor side of a call stream. */
 export type IncomingCall = {
   head: CallHead
+  /** Time for which the head waited on its way, as far as that is known, in ms; 0 for calls within a node. */
+  waitedMs: number
   body: ByteQueue
   /** Aborts when the caller cancels the call or its connection closes. */
   signal: CancelSignal
@@ -24,7 +26,7 @@
 }
 
 /** Creates the executor side of a call stream; `onClosed` is called once when the stream has ended. */
-export function createIncomingCall (head: CallHead, send: (msg: StreamMessage) => void, onClosed: () => void): IncomingCall {
+export function createIncomingCall (head: CallHead, send: (msg: StreamMessage) => void, onClosed: () => void, waitedMs = 0): IncomingCall {
   const abort = createCanceller()
   const recalled = createCanceller()
   let ended = false
@@ -44,6 +46,7 @@
   }
   return {
     head,
+    waitedMs,
     body,
     signal: abort.signal,
     recalled: recalled.signal,
--- a/packages/node/src/links/listener.ts
+++ b/packages/node/src/links/listener.ts
@@ -5,6 +5,7 @@
 import { DIAL_TIMEOUT_MS, type LinkIdentity } from './dial.js'
 import { MAX_FRAME_BYTES, MAX_HANDSHAKE_FRAME_BYTES, type Frame } from './frames.js'
 import { createHandshake } from './handshake.js'
+import { createLinkDelay } from './link-delay.js'
 
 export type PeerListener = {
   port: number
@@ -27,6 +28,7 @@
   const accept = (socket: Socket) => {
     const handshake = createHandshake(identity.fleetKey, identity.vmId)
     const write = createFrameWriter(socket)
+    const delay = createLinkDelay()
     let hello: { vmId: string, nonce: Uint8Array } | undefined
     let connection: PeerConnection | undefined
     const fail = (message: string) => {
@@ -38,7 +40,7 @@
     const timer = setTimeout(() => fail('handshake timed out'), DIAL_TIMEOUT_MS)
     const finishHandshake = (peerVm: string) => {
       clearTimeout(timer)
-      const opened = createPeerConnection(socket, peerVm, { ...handlers, onClose: () => connections.delete(opened) })
+      const opened = createPeerConnection(socket, peerVm, { ...handlers, onClose: () => connections.delete(opened) }, delay)
       connection = opened
       connections.add(opened)
     }
@@ -47,6 +49,7 @@
       const { msg } = frame
       if (msg.type === 'hello' && hello === undefined) {
         hello = msg
+        if (msg.sentMs !== undefined) delay.waitedMs(msg.sentMs)
         return write(0, handshake.welcome(msg))
       }
       if (msg.type !== 'proof' || hello === undefined) return fail(`unexpected message "${msg.type}" during the handshake`)
--- a/packages/node/src/links/messages.ts
+++ b/packages/node/src/links/messages.ts
@@ -46,7 +46,8 @@
 
 /** Messages of one call stream, in both directions. */
 export type StreamMessage =
-  | { type: 'head', head: CallHead }
+  /** `sentMs` is the time of the sender's stamp clock, see `link-delay.ts`; absent from nodes of earlier versions. */
+  | { type: 'head', head: CallHead, sentMs?: number }
   | { type: 'accept' }
   | { type: 'data', chunk: Uint8Array }
   | { type: 'end' }
--- a/packages/node/src/members/members.ts
+++ b/packages/node/src/members/members.ts
@@ -9,6 +9,7 @@
 import { createRunGaps } from './run-gaps.js'
 import type { Address, DatagramSocket } from './socket.js'
 import { createByteBudget, createDissemination } from './dissemination.js'
+import { createStallLog } from './stall-log.js'
 import { createSync } from './sync.js'
 import { createMemberTable } from './table.js'
 import { FREEZE_GAP_MS, GOSSIP_BURST_BYTES, GOSSIP_BYTES_PER_SECOND, GOSSIP_FANOUT, GOSSIP_INTERVAL_MS, URGENT_RESERVE_BYTES } from './timing.js'
@@ -82,6 +83,7 @@
   // Set after a freeze: an ack of a ping with a higher sequence number contains the sender's current state of this process.
   let resumingSinceSeq: number | undefined
   const runGaps = createRunGaps(clock)
+  const logStall = createStallLog(log)
   const prober = createProber({ clock, random, log, seeds, channel, table, dissemination, view, lastReceivedMs: () => lastReceivedMs })
   const sync = createSync({ clock, random, seeds, selfRecord, channel, table, view, budget, signal: stopping.signal })
   const isSelf = (vmId: string) => vmId === self.vmId
@@ -182,6 +184,7 @@
       if (failed.length + forgotten.length > 0) view.changed()
       await clock.sleep(GOSSIP_INTERVAL_MS, stopping.signal)
       const lateMs = runGaps.sinceLastMs() - GOSSIP_INTERVAL_MS
+      logStall(lateMs)
       if (lateMs > FREEZE_GAP_MS) resumeAfterFreeze(lateMs)
     }
   }
--- a/packages/node/src/routes/route-handler.ts
+++ b/packages/node/src/routes/route-handler.ts
@@ -14,6 +14,7 @@
 import { bodyMissing, bufferBody, deadlinePassed } from '../calls/entry-request.js'
 import { NO_REPORT, type AttemptRecord, type Forwarder, type ForwardResult } from '../calls/forwarder.js'
 import { countOpenRequests, type CountedHandler } from '../calls/open-requests.js'
+import { processReads, type SocketReads } from '../net/socket-reads.js'
 import { withoutSetHeaders, type CallHeaderNames } from './call-headers.js'
 import { clientRefusal } from './client-refusal.js'
 import type { DestinationChooser } from './destinations.js'
@@ -33,6 +34,9 @@
   outcome: string
   detail: string
   attempts: AttemptRecord[]
+  /** Shortest and longest time, in ms, for which the request can have waited at this node before it was read. */
+  readWaitMs: number
+  unreadMs: number
   durationMs: number
 }
 
@@ -51,6 +55,7 @@
   chooseDestination: DestinationChooser
   budget: RepeatBudget
   forwarder: Forwarder
+  reads?: SocketReads
   clock: Clock
   onEnded: (ending: RequestSummary) => void
 }
@@ -63,7 +68,7 @@
 
 /** Creates the handler of requests that clients and the local target send on routes; the handler never rejects. */
 export function createRouteHandler (options: RouteHandlerOptions): CountedHandler {
-  const { names, routes, forwarder, clock } = options
+  const { names, routes, forwarder, reads = processReads, clock } = options
 
   const admit = (req: IncomingMessage, requestId: string): Result<Admitted, Refusal> => {
     const index = routes()
@@ -149,10 +154,11 @@
 
   const handleRequest = async (req: IncomingMessage, res: ServerResponse, waitedMs: number): Promise<void> => {
     const startedMs = clock.nowMs() - waitedMs
+    const readWaits = { readWaitMs: reads.waitedMs(), unreadMs: reads.unreadMs() }
     const requestId = headerValue(req.rawHeaders, names.requestId) ?? newTraceId()
     const admitted = admit(req, requestId)
     const report = (ended: Ended, routeFields: Pick<RequestSummary, 'route' | 'service' | 'revision' | 'priority'>) =>
-      options.onEnded({ requestId, ...routeFields, ...ended, durationMs: clock.nowMs() - startedMs })
+      options.onEnded({ requestId, ...routeFields, ...ended, ...readWaits, durationMs: clock.nowMs() - startedMs })
     if (admitted.isErr()) {
       return report(refuse(req, res, requestId, admitted.error, []), { route: '', service: '', revision: routes()?.revision ?? 0, priority: 0 })
     }
--- a/packages/node/src/routes/routed-node.ts
+++ b/packages/node/src/routes/routed-node.ts
@@ -5,7 +5,7 @@
 import type { Logger } from 'pino'
 import { startGateTicks } from '../admission/gate-ticks.js'
 import { createTargetGate } from '../admission/target-gate.js'
-import { createExecutor, type UnframedResponse } from '../calls/executor.js'
+import { createExecutor, type SendWaits, type UnframedResponse } from '../calls/executor.js'
 import { createForwarder } from '../calls/forwarder.js'
 import { createInboundCalls } from '../calls/inbound-calls.js'
 import { createNodeStats, GAUGE_INTERVAL_MS, reportGauges, type MetricsSink } from '../calls/node-stats.js'
@@ -64,6 +64,9 @@
 /** Idle timeout of caller connections until the first routes are received, in ms. */
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000
 
+/** Wait of a call between its sender and its target from which it is logged, in ms. */
+const DELAYED_CALL_MS = 250
+
 /** Starts the node of a target in a fleet that uses routes; rejects when a port can't be opened. */
 export async function startRoutedNode (settings: Settings, deps: RoutedNodeDeps): Promise<RoutedNode> {
   const { log, names, metrics } = deps
@@ -99,7 +102,10 @@
     callRefusal: lifecycle.callRefusal,
     sendRefusal: lifecycle.sendRefusal,
     recalled: availability.recalled,
-    onSent: lifecycle.onSent,
+    onSent: (call, waits) => {
+      lifecycle.onSent()
+      if (waits.linkMs + waits.heldMs >= DELAYED_CALL_MS) logDelayedCall(log, call, waits)
+    },
     onNotices: lifecycle.onNotices,
     targetHeaders: createRoutedTargetHeaders(names),
     isForeignResponse: createForeignResponseTest(names),
@@ -198,7 +204,7 @@
   begin: () => Promise.resolve({ kind: 'refuse', refusal: notRun('bad-request', 'routed calls carry no idempotency key') })
 }
 
-function logRefusedCall (log: Logger, { head }: IncomingCall, refusal: Refusal, { load, reachedTarget }: CallReport): void {
+function logRefusedCall (log: Logger, { head, waitedMs }: IncomingCall, refusal: Refusal, { load, reachedTarget }: CallReport): void {
   log.info({
     event: 'call-refused',
     requestId: head.root.requestId,
@@ -206,6 +212,7 @@
     service: head.service,
     priority: head.root.priority,
     remainingMs: Math.round(head.remainingMs),
+    linkWaitMs: Math.round(waitedMs),
     code: refusal.code,
     outcome: refusal.outcome,
     reachedTarget: reachedTarget === true,
@@ -214,6 +221,18 @@
   }, 'call refused or abandoned at this node')
 }
 
+function logDelayedCall (log: Logger, { head }: IncomingCall, { linkMs, heldMs }: SendWaits): void {
+  log.info({
+    event: 'call-delayed',
+    requestId: head.root.requestId,
+    route: head.opKey,
+    service: head.service,
+    remainingMs: Math.round(head.remainingMs),
+    linkWaitMs: Math.round(linkMs),
+    heldMs: Math.round(heldMs)
+  }, 'a call was sent to the target long after its sender had sent it here')
+}
+
 function logUnframedResponse (log: Logger, { head }: IncomingCall, response: UnframedResponse): void {
   log.info({
     event: 'unframed-response',
--- a/packages/node/src/server/caller-server.ts
+++ b/packages/node/src/server/caller-server.ts
@@ -2,6 +2,7 @@
 import type { Socket } from 'node:net'
 import { systemClock, WELL_KNOWN_PREFIX, type Clock, type PeerAddress } from '@orioleslip/core'
 import { listen } from '../net/listen.js'
+import { processReads, type SocketReads } from '../net/socket-reads.js'
 import { createCallerConnections, type UnansweredEnd } from './caller-connections.js'
 
 /** Handles a request that has waited for `waitedMs` behind earlier ones of its connection. */
@@ -24,6 +25,7 @@
   limits?: () => CallerLimits
   /** Called for each connection that ends before each of its requests got a whole response. */
   onUnanswered?: (end: UnansweredEnd) => void
+  reads?: SocketReads
   clock?: Clock
 }
 
@@ -40,14 +42,17 @@
   address: PeerAddress, onCall: RequestListener, onWellKnown: RequestListener, options: CallerServerOptions = {}
 ): Promise<CallerServer> {
   const { stopping = () => false, limits = () => ({ idleTimeoutMs: KEEP_ALIVE_MS }) } = options
-  const { onUnanswered = () => {}, clock = systemClock } = options
+  const { onUnanswered = () => {}, reads = processReads, clock = systemClock } = options
   const connections = createCallerConnections(clock, onUnanswered)
-  const listener = (req: IncomingMessage, res: ServerResponse) => connections.handle(req, res, (waitedMs) => {
-    if (stopping()) res.shouldKeepAlive = false
-    server.keepAliveTimeout = limits().idleTimeoutMs
-    const handle = req.url?.startsWith(WELL_KNOWN_PREFIX) === true ? onWellKnown : onCall
-    handle(req, res, waitedMs).catch(() => res.destroy())
-  })
+  const listener = (req: IncomingMessage, res: ServerResponse) => {
+    reads.noteRead()
+    connections.handle(req, res, (waitedMs) => {
+      if (stopping()) res.shouldKeepAlive = false
+      server.keepAliveTimeout = limits().idleTimeoutMs
+      const handle = req.url?.startsWith(WELL_KNOWN_PREFIX) === true ? onWellKnown : onCall
+      handle(req, res, waitedMs).catch(() => res.destroy())
+    })
+  }
   const server = createServer({
     keepAliveTimeout: limits().idleTimeoutMs,
     maxHeaderSize: MAX_HEADER_BYTES,
