Count the wait of a call between two nodes against its deadline

Callers saw nothing: they had left.

Cause: the head of a call carries the time that was left when it was queued, and the node beside the target started a deadline of that length when it read the head. Time in the sender's queue, in both sockets and on the link was added to the deadline, at each hop.

Change: the executor takes off the wait that the stamp of the head shows.

--- a/packages/node/src/calls/executor.ts
+++ b/packages/node/src/calls/executor.ts
@@ -254,7 +254,8 @@
     /** Runs one call to its end; never rejects. */
     execute: (call: IncomingCall): void => {
       // A non-repeatable call continues after its caller has disconnected: a resend then gets its recorded response.
-      const deadline = startDeadline(call.head.remainingMs, clock.nowMs, call.head.claim === undefined ? call.signal : undefined)
+      const remainingMs = call.head.remainingMs - call.waitedMs
+      const deadline = startDeadline(remainingMs, clock.nowMs, call.head.claim === undefined ? call.signal : undefined)
       const self = inbound.open({
         root: call.head.root,
         traceFlags: call.head.traceFlags,
