Compare the clock with the deadline right before a call is sent to its target

Cause: the clock was compared when a call arrived and when it left the gate. After that, while the body arrived and while the request waited for a connection or a place in the pool, only the signal was asked, which a timer sets; timers run a turn later than what was read, and late when the process is late.

Change: the executor compares the clock right before the send, and the client of the target when undici writes the request; such a call is refused as not run.

--- a/packages/node/src/calls/executor.test.ts
+++ b/packages/node/src/calls/executor.test.ts
@@ -204,6 +204,19 @@
   t.is(refused[0]!.report.reachedTarget, undefined)
 })
 
+// Guards against a call that is sent past its deadline by a process that was late: its timers run a turn after the bytes that it reads.
+test('a call whose deadline passed while its body arrived is refused as not run before its timer runs', async (t) => {
+  const { clock, gate, refused, executor } = createFixture({ run: () => Promise.reject(new Error('the call must not be sent')) })
+  const call = createIncomingCall(createHead({ method: 'PUT', bodyBytes: 4, remainingMs: 1000 }), () => {}, () => {})
+  executor.execute(call)
+  await clock.advance(1001)
+  call.receive({ type: 'data', chunk: new Uint8Array(4) })
+  call.receive({ type: 'end' })
+  await clock.advance(0)
+  t.like(refused[0]?.refusal, { code: 'deadline-exceeded', outcome: 'not-run' })
+  t.is(gate.load().inFlight, 0)
+})
+
 // Guards against a call whose body does not have its declared length being sent to the target without a body.
 test('a call whose body differs from its declared length is refused as not run', async (t) => {
   for (const receivedBytes of [9, 11, 100_000]) {
--- a/packages/node/src/calls/executor.ts
+++ b/packages/node/src/calls/executor.ts
@@ -182,7 +182,8 @@
     const body = await receiveTargetBody(call, bytes, unsent.signal)
     if (body.isErr()) return refuseUnsent(body.error)
     const current = target.current()
-    if (unsent.signal.aborted) {
+    // The timer of the deadline may run a turn later than what has been read, and this process may have been late.
+    if (unsent.signal.aborted || deadline.remainingMs() <= 0) {
       return refuseUnsent(notRun('deadline-exceeded', 'the call was cancelled or its deadline passed before it was sent to the target'))
     }
     if (current === undefined) return refuseUnsent(notRun('no-target', 'the target process has ended', 1))
@@ -202,6 +203,7 @@
       headers: targetHeaders(call, deadline, self, current.announcement),
       body: body.value,
       signal: deadline.signal,
+      remainingMs: deadline.remainingMs,
       isForeign: (headers) => isForeignResponse(call, headers)
     })
     if (reply.kind === 'foreign') {
@@ -237,15 +239,15 @@
   }
 
   const finishFailed = async ({ call, deadline, self, permit, guardedRun, latencyMs, reply, running }: FailedCall): Promise<void> => {
-    permit.release({ kind: deadline.signal.aborted ? 'cancelled' : 'failed', latencyMs: latencyMs() })
+    const isCancelled = deadline.signal.aborted || (!reply.sent && deadline.remainingMs() <= 0)
+    permit.release({ kind: isCancelled ? 'cancelled' : 'failed', latencyMs: latencyMs() })
     if (!reply.sent) releaseClaim(guardedRun)
-    const isCancelled = deadline.signal.aborted
     const hasCrashed = reply.sent && !isCancelled ? await lost(running, deadline) : false
     // Whoever sends the call again is told of the crash first, see `onCrash` of the guard.
     running.ended()
     const code = isCancelled ? 'deadline-exceeded' : 'target-lost'
-    const cause = hasCrashed ? 'the target process ended while it ran the call' : reply.message
-    const detail = isCancelled ? `the target had sent no response after ${Math.round(latencyMs())} ms, when the call was cancelled` : cause
+    const failure = hasCrashed ? 'the target process ended while it ran the call' : reply.message
+    const detail = isCancelled ? cancelDetail(reply.sent, latencyMs()) : failure
     const refusal = reply.sent ? unknownOutcome(code, detail) : notRun(code, detail, 1)
     refuseCall(call, refusal, { ...reportOf(self), reachedTarget: reply.sent })
   }
@@ -306,6 +308,12 @@
   guardedRun?.notSent().catch(() => undefined)
 }
 
+function cancelDetail (isSent: boolean, latencyMs: number): string {
+  return isSent
+    ? `the target had sent no response after ${Math.round(latencyMs)} ms, when the call was cancelled`
+    : `the call had waited for a connection to the target for ${Math.round(latencyMs)} ms, when it was cancelled or its deadline passed`
+}
+
 function noTargetRefusal (call: IncomingCall, target: LocalTarget): Refusal | undefined {
   const announced = target.current()?.announcement
   if (announced === undefined) return notRun('no-target', 'no target has announced itself beside this node', 1)
--- a/packages/node/src/target/response-handler.ts
+++ b/packages/node/src/target/response-handler.ts
@@ -87,8 +87,8 @@
         }
       }
       copies?.callSent(req.headers)
-      // A request that was cancelled while it waited for a connection must not be sent.
-      if (req.signal.aborted) return abort()
+      // A request must not be sent that was cancelled, or whose deadline passed, while it waited for a connection.
+      if (req.signal.aborted || isLate(req)) return abort()
       sent = true
       sentMs = clock.nowMs()
       req.signal.addEventListener('abort', abort, { once: true })
@@ -132,6 +132,11 @@
   }
 }
 
+/** Tells by the clock whether the deadline of a request has passed; the timer that aborts it may run later. */
+function isLate ({ remainingMs }: TargetRequest): boolean {
+  return remainingMs !== undefined && remainingMs() <= 0
+}
+
 /** Returns why a head is not one of a response in HTTP/1.0 or 1.1 whose body can be read. */
 function headProblem (connection: TargetConnection | undefined, status: number, framing: Framing): string | undefined {
   if (connection !== undefined && connection.responseStart !== VERSION_START) {
--- a/packages/node/src/target/target-client.ts
+++ b/packages/node/src/target/target-client.ts
@@ -20,6 +20,8 @@
   headers: string[]
   body: TargetBody
   signal: CancelSignal
+  /** Time until the deadline of the call, in ms; a request that has waited for a connection until there is none left is not sent. */
+  remainingMs?: () => number
   /** True if a response with these headers belongs to another request; its connection is closed at once, before it can be used again. */
   isForeign?: (headers: readonly string[]) => boolean
 }
