Read the sockets before a call is sent, if they were left unread

Cause: the end of a caller's connection, and the cancel of a call, come in order behind what they take back, and the end is read one turn of the event loop later. A process that had not read for a while passed on what it read first, before it read that the caller had left: after a gap of seconds, calls of as many seconds.

Change: turns of the event loop bound the time for which anything can have been left unread. Above 100 ms, the forwarder waits before each attempt, and the executor before the send to the target, until the sockets have been read once more; then the signal and the clock decide. Work that waits goes on in order, 100 ms of it in a turn. The end of a caller's connection cancels its work at once, not when the response closes, which is some turns later. What could still be in time is sent.

The executor's tests with a fake clock run without the wait, which needs real turns.

--- a/packages/node/src/calls/call-handler.ts
+++ b/packages/node/src/calls/call-handler.ts
@@ -9,7 +9,7 @@
 import { writeRefusal, writeResponse } from './response-writer.js'
 import { refusalOfCut } from './attempt-result.js'
 import { startDeadline, type CallDeadline } from './call-deadline.js'
-import { endRequest } from './request-end.js'
+import { cancelWhenCallerLeaves, endRequest } from './request-end.js'
 import type { DecisionRecords } from './decision-records.js'
 import { bodyMissing, deadlinePassed, newTrace, parseRequest, receiveBody, type ParsedRequest } from './entry-request.js'
 import type { AttemptRecord, Forwarder, ForwardRequest, ForwardResult } from './forwarder.js'
@@ -270,7 +270,7 @@
     }
     const admitted = decided.value
     const deadline = deadlineOf(parsed.value, admitted, waitedMs)
-    res.on('close', () => { if (!res.writableFinished) deadline.cancel() })
+    cancelWhenCallerLeaves(req, res, deadline)
     const { origin } = admitted
     const { root, kind } = origin
     const childEnded = origin.kind === 'child' ? origin.parent.childStarted() : undefined
--- a/packages/node/src/calls/entry-request.ts
+++ b/packages/node/src/calls/entry-request.ts
@@ -108,6 +108,11 @@
   return notRun('deadline-exceeded', 'the deadline passed before the request could be handled')
 }
 
+/** Refusal of a request that nobody waits for any more when it could be sent to a target. */
+export function tooLate (): Refusal {
+  return notRun('deadline-exceeded', 'the deadline passed, or the caller left, before the request was sent to a target')
+}
+
 async function readBody (req: IncomingMessage, lengthBytes: number | undefined, limitBytes: number): Promise<RequestBody> {
   const read = createRequestReader(req)
   const chunks = createChunkList()
--- a/packages/node/src/calls/executor.test.ts
+++ b/packages/node/src/calls/executor.test.ts
@@ -65,6 +65,7 @@
     clock,
     inbound: createInboundCalls(clock.nowMs),
     guard: { begin: () => Promise.reject(new Error('no call of this test has a key')) },
+    reads: { caughtUp: () => undefined },
     callRefusal: () => callRefusal,
     ...(sendRefusal === undefined ? {} : { sendRefusal }),
     readNotices: createNoticeReader({ rateLimit: 'x-limit', leaving: 'x-leaving' }),
--- a/packages/node/src/calls/executor.ts
+++ b/packages/node/src/calls/executor.ts
@@ -17,6 +17,7 @@
 import type { GuardedRun, IdempotencyGuard } from '../idempotency/idempotency-guard.js'
 import { HASHED_BODY_LIMIT_BYTES, requestHashOf } from '../idempotency/request-hash.js'
 import { createNoticeReader, type TargetNotices } from '../target/target-notices.js'
+import { processReads, type SocketReads } from '../net/socket-reads.js'
 
 export type ExecutorOptions = {
   target: LocalTarget
@@ -25,6 +26,8 @@
   guard: Pick<IdempotencyGuard, 'begin'>
   /** Keeps requests that end targets from ending further ones; by default nothing does. */
   crashes?: ExecutorCrashes
+  /** What has been read when a call is sent to the target; its cancel may wait behind it. */
+  reads?: Pick<SocketReads, 'caughtUp'>
   clock: Clock
   /** Refusal for a new call that this node must not accept; undefined otherwise. */
   callRefusal: (head: CallHead) => Refusal | undefined
@@ -74,7 +77,7 @@
   const { targetHeaders = defaultTargetHeaders, isForeignResponse = () => false } = options
   const { checkResponse = () => ({ kind: 'ran' }), readNotices = createNoticeReader(HEADERS) } = options
   const { sendRefusal = () => undefined, onRefused = () => {}, onSent = () => {}, onNotices = () => {} } = options
-  const { onUnframed = () => {}, recalled = createCanceller().signal } = options
+  const { onUnframed = () => {}, recalled = createCanceller().signal, reads = processReads } = options
 
   /** Calls from nodes of earlier versions have no fingerprint by which they could be told apart. */
   const crashGuardOf = ({ fingerprint }: CallHead): GuardedCall =>
@@ -181,6 +184,8 @@
     }
     const body = await receiveTargetBody(call, bytes, unsent.signal)
     if (body.isErr()) return refuseUnsent(body.error)
+    const unread = reads.caughtUp()
+    if (unread !== undefined) await unread
     const current = target.current()
     // The timer of the deadline may run a turn later than what has been read, and this process may have been late.
     if (unsent.signal.aborted || deadline.remainingMs() <= 0) {
--- a/packages/node/src/calls/forwarder.ts
+++ b/packages/node/src/calls/forwarder.ts
@@ -11,7 +11,9 @@
 import type { PeerPool } from '../links/pool.js'
 import { cancelledRefusal, failureOf, refusalForNoRoute, verdictOfFinish, verdictOfReply, type AttemptResult } from './attempt-result.js'
 import type { CallDeadline } from './call-deadline.js'
+import { tooLate } from './entry-request.js'
 import { newAttemptToken } from '../idempotency/token.js'
+import { processReads, type SocketReads } from '../net/socket-reads.js'
 import type { Latencies } from '../limits/latencies.js'
 import type { InterRegionBudget, VolumeReservation } from '../routing/inter-region-budget.js'
 import { createLeavingProcesses } from '../routing/leaving-processes.js'
@@ -63,6 +65,8 @@
   /** True if calls may go to other regions without an inter-region volume of their operation. */
   allowCrossRegion?: boolean
   latencies: Latencies
+  /** What has been read when a call is sent; the end of its caller's connection may wait behind it. */
+  reads?: Pick<SocketReads, 'caughtUp'>
   clock: Clock
   /** Called before each retry. */
   onRetry: () => void
@@ -96,7 +100,7 @@
 
 /** Creates the forwarder, which sends calls to targets: it picks the VM, accounts for inter-region traffic and retries failed attempts. */
 export function createForwarder (options: ForwarderOptions) {
-  const { router, pool, latencies, clock } = options
+  const { router, pool, latencies, reads = processReads, clock } = options
   const leaving = createLeavingProcesses()
 
   /** Opens a call stream when the peer is connected; returns an error message if it can't be reached or `signal` aborts first. */
@@ -161,6 +165,9 @@
       return true
     }
     for (;;) {
+      const unread = reads.caughtUp()
+      if (unread !== undefined) await unread
+      if (req.deadline.signal.aborted || req.deadline.remainingMs() <= 0) return refused(failure ?? tooLate())
       const attemptRefusal = req.attemptRefusal?.()
       if (attemptRefusal !== undefined) return refused(attemptRefusal)
       const volume = reserveVolume(req, attempts.length)
--- a/packages/node/src/calls/request-end.ts
+++ b/packages/node/src/calls/request-end.ts
@@ -2,6 +2,16 @@
 import { discardRequestBody } from '@orioleslip/core'
 import type { CallDeadline } from './call-deadline.js'
 
+/** Cancels the work for a request when its caller leaves. The end of the connection is read some turns before the response closes. */
+export function cancelWhenCallerLeaves (req: IncomingMessage, res: ServerResponse, deadline: CallDeadline): void {
+  const { socket } = req
+  socket.once('end', deadline.cancel)
+  res.once('close', () => {
+    socket.off('end', deadline.cancel)
+    if (!res.writableFinished) deadline.cancel()
+  })
+}
+
 /** Longest time in which the client can read the rest of its response, in ms. */
 const LINGER_MS = 3000
 
--- a/packages/node/src/net/socket-reads.test.ts
+++ b/packages/node/src/net/socket-reads.test.ts
@@ -33,3 +33,41 @@
   t.is(await turn(10), 1010)
   t.is(await turn(10), 20)
 })
+
+// Guards against the end of a connection that is overlooked because work goes on in the turn in which a gap has ended.
+test('work waits until the sockets have been read after a gap, and not without one', async (t) => {
+  const clock = createFakeClock()
+  const reads = createSocketReads(clock)
+  t.is(reads.caughtUp(), undefined)
+  await clock.advance(600)
+  const events: string[] = []
+  const caughtUp = reads.caughtUp()?.then(() => { events.push('caught up') })
+  await nextTurn()
+  events.push('sockets are read')
+  await caughtUp
+  t.deepEqual(events, ['sockets are read', 'caught up'])
+  t.is(reads.caughtUp(), undefined)
+})
+
+// Guards against a long queue of work behind which sockets are left unread again, and against work that waits for ever when turns are long.
+test('work that waits goes on in order, a part of it in each turn', async (t) => {
+  const clock = createFakeClock()
+  const reads = createSocketReads(clock)
+  await clock.advance(600)
+  const turnOf: number[] = []
+  let turn = 0
+  const work = Array.from({ length: 10 }, async (_, i) => {
+    await reads.caughtUp()
+    turnOf[i] = turn
+    await clock.advance(40)
+  })
+  const all = Promise.all(work)
+  while (turnOf.filter((done) => done !== undefined).length < work.length) {
+    await nextTurn()
+    turn++
+  }
+  await all
+  t.deepEqual(turnOf, [...turnOf].sort((a, b) => a - b))
+  t.true(turnOf.filter((each) => each === turnOf[0]).length <= 4)
+  t.true(turn < 10)
+})
--- a/packages/node/src/net/socket-reads.ts
+++ b/packages/node/src/net/socket-reads.ts
@@ -8,8 +8,16 @@
   waitedMs: () => number
   /** Longest time for which anything can have been left unread, in ms; it includes times in which nothing arrived. */
   unreadMs: () => number
+  /** Resolves once what has arrived by now has been read; undefined if nothing can have been left unread for long. */
+  caughtUp: () => Promise<void> | undefined
 }
 
+/** Longest time for which sockets are left unread before work waits for them, in ms. */
+const UNREAD_LIMIT_MS = 100
+
+/** Resolves after the sockets of this turn of the event loop have been read. */
+const socketsRead = (): Promise<void> => new Promise((resolve) => { setImmediate(resolve) })
+
 /**
  * Creates the record of a process. It is kept in turns of the event loop: the sockets that are read in a turn had something to read when
  * the turn began. The end of a connection is read one turn after the bytes before it.
@@ -20,6 +28,8 @@
   let turnMs = clock.nowMs()
   let previousTurnMs = turnMs
   let earlierTurnMs = turnMs
+  /** All that had arrived by then has been read. */
+  let readUpToMs = turnMs
 
   const endTurn = () => {
     isNoted = false
@@ -33,16 +43,29 @@
     turnMs = clock.nowMs()
     setImmediate(endTurn)
   }
+  const unreadMs = () => {
+    noteTurn()
+    return clock.nowMs() - Math.max(earlierTurnMs, readUpToMs)
+  }
+  // Work that waits here goes on in the order in which it came, until it has taken the limit; then the sockets are read again. A turn may
+  // take longer than the limit, so that the limit grows with each one.
+  const catchUp = async () => {
+    await socketsRead()
+    for (let limitMs = UNREAD_LIMIT_MS; ; limitMs *= 2) {
+      const sinceMs = clock.nowMs()
+      await socketsRead()
+      readUpToMs = Math.max(readUpToMs, sinceMs)
+      if (clock.nowMs() - sinceMs <= limitMs) return
+    }
+  }
   return {
     noteRead: () => {
       noteTurn()
       firstReadMs ??= clock.nowMs()
     },
     waitedMs: () => firstReadMs === undefined ? 0 : clock.nowMs() - firstReadMs,
-    unreadMs: () => {
-      noteTurn()
-      return clock.nowMs() - earlierTurnMs
-    }
+    unreadMs,
+    caughtUp: () => unreadMs() > UNREAD_LIMIT_MS ? catchUp() : undefined
   }
 }
 
--- a/packages/node/src/routes/route-handler.ts
+++ b/packages/node/src/routes/route-handler.ts
@@ -8,7 +8,7 @@
 import { writeRefusal, writeResponse } from '../calls/response-writer.js'
 import { refusalOfCut } from '../calls/attempt-result.js'
 import { startDeadline, type CallDeadline } from '../calls/call-deadline.js'
-import { endRequest } from '../calls/request-end.js'
+import { cancelWhenCallerLeaves, endRequest } from '../calls/request-end.js'
 import { recalledRefusal } from '../calls/unsent-call.js'
 import { untilAborted } from '../calls/until-aborted.js'
 import { bodyMissing, bufferBody, deadlinePassed } from '../calls/entry-request.js'
@@ -164,7 +164,7 @@
     }
     const { route, revision, deadlineMs } = admitted.value
     const deadline = startDeadline(deadlineMs - waitedMs, clock.nowMs)
-    res.on('close', () => { if (!res.writableFinished) deadline.cancel() })
+    cancelWhenCallerLeaves(req, res, deadline)
     const root = requestContextOf(admitted.value)
     const service = options.chooseDestination(route)
     let ended: Ended
