Count the wait in front of the accept as time in which a request was left unread

Cause: a connection that waits to be accepted is registered for reading a turn after its accept. Its bytes have been waiting since before it, but the turns only told that what had arrived was read.

Change: an accept carries the bound of its turn on for the turns until the first bytes, and an end behind them, have been read.

--- a/packages/node/src/calls/late-calls.test.ts
+++ b/packages/node/src/calls/late-calls.test.ts
@@ -2,7 +2,9 @@
 import { once } from 'node:events'
 import { connect, type Socket } from 'node:net'
 import { setImmediate as nextTurn, setTimeout as wait } from 'node:timers/promises'
+import { Worker } from 'node:worker_threads'
 import { GAP_MS, shopHead, standStill, startCountingTarget, startExecutorLink } from '../testing/executor-link.js'
+import type { LeavingCallers } from '../testing/leaving-callers.js'
 import { startNodePair } from '../testing/node-pair.js'
 
 const HOST = '127.0.0.1'
@@ -70,3 +72,23 @@
   await wait(SETTLE_MS)
   t.deepEqual(paths.map((path) => path.slice(0, 5)), [])
 })
+
+// Guards against work for callers that have left: what a connection brings that waited to be accepted is as old as that wait.
+test('a request whose caller connected and left before the node could accept it is not sent to the target', async (t) => {
+  const { port, paths } = await startCountingTarget(t)
+  const pair = await startNodePair({ targetPort: port })
+  t.teardown(pair.stop)
+  ;(await openCaller(pair.callerPort)).destroy()
+  const workerData: LeavingCallers = {
+    host: HOST, port: pair.callerPort, count: 50, flag: new Int32Array(new SharedArrayBuffer(4))
+  }
+  const callers = new Worker(new URL('../testing/leaving-callers.js', import.meta.url), { workerData })
+  t.teardown(() => callers.terminate())
+  await once(callers, 'online')
+  paths.length = 0
+  callers.postMessage('leave')
+  Atomics.wait(workerData.flag, 0, 0)
+  standStill()
+  await wait(SETTLE_MS)
+  t.deepEqual(paths, [])
+})
--- a/packages/node/src/net/socket-reads.ts
+++ b/packages/node/src/net/socket-reads.ts
@@ -4,6 +4,8 @@
 export type SocketReads = {
   /** Notes that something was read; to be called first by what handles it. */
   noteRead: () => void
+  /** Notes that a connection was accepted, on which bytes, and its end, may have waited since before that. */
+  noteAccepted: () => void
   /** Shortest time for which what is read now has waited, in ms; 0 outside of the reading of sockets. */
   waitedMs: () => number
   /** Longest time for which anything can have been left unread, in ms; it includes times in which nothing arrived. */
@@ -15,6 +17,9 @@
 /** Longest time for which sockets are left unread before work waits for them, in ms. */
 const UNREAD_LIMIT_MS = 100
 
+/** Number of turns until the first bytes of an accepted connection, and its end behind them, have been read. */
+const ACCEPT_TURNS = 3
+
 /** Resolves after the sockets of this turn of the event loop have been read. */
 const socketsRead = (): Promise<void> => new Promise((resolve) => { setImmediate(resolve) })
 
@@ -30,10 +35,14 @@
   let earlierTurnMs = turnMs
   /** All that had arrived by then has been read. */
   let readUpToMs = turnMs
+  /** The connections accepted in the last `acceptTurns` turns had not been waiting then. */
+  let acceptedSinceMs = Infinity
+  let acceptTurns = 0
 
   const endTurn = () => {
     isNoted = false
     firstReadMs = undefined
+    if (acceptTurns > 0 && --acceptTurns === 0) acceptedSinceMs = Infinity
   }
   const noteTurn = () => {
     if (isNoted) return
@@ -45,7 +54,7 @@
   }
   const unreadMs = () => {
     noteTurn()
-    return clock.nowMs() - Math.max(earlierTurnMs, readUpToMs)
+    return clock.nowMs() - Math.min(acceptedSinceMs, Math.max(earlierTurnMs, readUpToMs))
   }
   // Work that waits here goes on in the order in which it came, until it has taken the limit; then the sockets are read again. A turn may
   // take longer than the limit, so that the limit grows with each one.
@@ -64,6 +73,11 @@
       firstReadMs ??= clock.nowMs()
     },
     waitedMs: () => firstReadMs === undefined ? 0 : clock.nowMs() - firstReadMs,
+    noteAccepted: () => {
+      noteTurn()
+      acceptedSinceMs = Math.min(acceptedSinceMs, Math.max(earlierTurnMs, readUpToMs))
+      acceptTurns = ACCEPT_TURNS
+    },
     unreadMs,
     caughtUp: () => unreadMs() > UNREAD_LIMIT_MS ? catchUp() : undefined
   }
--- a/packages/node/src/server/caller-server.ts
+++ b/packages/node/src/server/caller-server.ts
@@ -61,6 +61,7 @@
     requestTimeout: 0,
     noDelay: true
   }, listener)
+  server.on('connection', reads.noteAccepted)
   server.on('clientError', (err, socket) => connections.refuseMalformed(err, socket as Socket))
   const port = await listen(server, address)
   return {
