Read what a sender has sent behind a late head before its call is sent on

Cancels waited in the sender's queue, not in the socket, so that reading the socket once more did not show them.

Change: a call whose head waited for over 100 ms on its way waits for a pong, which the sender puts behind all that it has sent; the calls of one turn share the ping. It waits for half of its remaining time at most, so that a sender that does not reply takes no call away.

--- a/packages/node/src/calls/executor.test.ts
+++ b/packages/node/src/calls/executor.test.ts
@@ -218,6 +218,29 @@
   t.is(gate.load().inFlight, 0)
 })
 
+// Guards against work for callers that have left: the cancel of a call that came late is late as well, in a queue or on the link.
+test('a call that came late is sent once its sender\'s messages have been read, or after half of its time', async (t) => {
+  for (const event of ['cancel', 'pong', 'silence'] as const) {
+    let sent = 0
+    const { clock, executor } = createFixture({
+      run: () => {
+        sent++
+        return Promise.resolve({ kind: 'failed', sent: true, message: 'reset' })
+      }
+    })
+    let readAll = () => {}
+    const link = { waitedMs: 400, readAll: () => new Promise<void>((resolve) => { readAll = resolve }) }
+    const call = createIncomingCall(createHead({ remainingMs: 1000 }), () => {}, () => {}, link)
+    executor.execute(call)
+    await clock.advance(299)
+    t.is(sent, 0, event)
+    if (event === 'cancel') call.receive({ type: 'cancel' })
+    if (event === 'pong') readAll()
+    await clock.advance(1)
+    t.is(sent, event === 'cancel' ? 0 : 1, event)
+  }
+})
+
 // Guards against a call whose body does not have its declared length being sent to the target without a body.
 test('a call whose body differs from its declared length is refused as not run', async (t) => {
   for (const receivedBytes of [9, 11, 100_000]) {
--- a/packages/node/src/calls/executor.ts
+++ b/packages/node/src/calls/executor.ts
@@ -16,6 +16,7 @@
 import { trackUnsentCall, type UnsentCall } from './unsent-call.js'
 import type { GuardedRun, IdempotencyGuard } from '../idempotency/idempotency-guard.js'
 import { HASHED_BODY_LIMIT_BYTES, requestHashOf } from '../idempotency/request-hash.js'
+import { withTimeout } from '../idempotency/with-timeout.js'
 import { createNoticeReader, type TargetNotices } from '../target/target-notices.js'
 import { processReads, type SocketReads } from '../net/socket-reads.js'
 
@@ -71,6 +72,9 @@
 /** Builds the headers of a call to the local target. */
 export type TargetHeaders = (call: IncomingCall, deadline: CallDeadline, self: InboundCall, target: Announcement) => string[]
 
+/** Largest share of its remaining time for which a call waits for the messages that its sender has sent behind it. */
+const LINK_WAIT_SHARE = 0.5
+
 /** Creates the executor, which runs calls at the target on this VM. */
 export function createExecutor (options: ExecutorOptions) {
   const { target, gate, inbound, guard, clock } = options
@@ -102,6 +106,7 @@
     const unavailable = options.callRefusal(call.head) ?? noTargetRefusal(call, target)
     if (unavailable !== undefined) return refuse(unavailable)
     if (deadline.remainingMs() <= 0) return refuse(notRun('deadline-exceeded', 'the deadline had passed when the call arrived'))
+    await readCancels(call, deadline, unsent.signal)
     const prepared = await prepareCall(call, deadline, unsent.signal)
     switch (prepared.kind) {
       case 'refused': return refuse(prepared.refusal)
@@ -110,6 +115,13 @@
     }
   }
 
+  /** After a late head, waits for what its sender has sent since: it may have cancelled the call. */
+  const readCancels = async (call: IncomingCall, deadline: CallDeadline, signal: CancelSignal): Promise<void> => {
+    const caughtUp = call.linkCaughtUp()
+    if (caughtUp === undefined) return
+    await withTimeout(clock, deadline.remainingMs() * LINK_WAIT_SHARE, caughtUp.then(() => call), signal)
+  }
+
   const prepareCall = async (call: IncomingCall, deadline: CallDeadline, signal: CancelSignal): Promise<Prepared> => {
     const { head } = call
     if (head.claim === undefined) return { kind: 'ready', body: undefined, guardedRun: undefined }
--- a/packages/node/src/calls/late-calls.test.ts
+++ b/packages/node/src/calls/late-calls.test.ts
@@ -3,7 +3,8 @@
 import { connect, type Socket } from 'node:net'
 import { setImmediate as nextTurn, setTimeout as wait } from 'node:timers/promises'
 import { Worker } from 'node:worker_threads'
-import { GAP_MS, shopHead, standStill, startCountingTarget, startExecutorLink } from '../testing/executor-link.js'
+import type { IncomingCall } from '../links/incoming-call.js'
+import { GAP_MS, openLink, shopHead, standStill, startCountingTarget, startExecutorLink } from '../testing/executor-link.js'
 import type { LeavingCallers } from '../testing/leaving-callers.js'
 import { startNodePair } from '../testing/node-pair.js'
 
@@ -92,3 +93,18 @@
   await wait(SETTLE_MS)
   t.deepEqual(paths, [])
 })
+
+// Guards against a call that is sent although its cancel is on its way behind a head that came late.
+test('a call that came late is cancelled once the messages behind its head have been read', async (t) => {
+  const calls: IncomingCall[] = []
+  const { connection } = await openLink(t, (call) => { calls.push(call) })
+  const call = connection.openCall(shopHead('/late'))
+  await nextTurn()
+  standStill()
+  call.cancel()
+  while (calls.length === 0) await nextTurn()
+  const caughtUp = calls[0]!.linkCaughtUp()
+  t.truthy(caughtUp)
+  await caughtUp
+  t.true(calls[0]!.signal.aborted)
+})
--- a/packages/node/src/links/connection.ts
+++ b/packages/node/src/links/connection.ts
@@ -91,6 +91,10 @@
   const incoming = new Map<number, IncomingCall>()
   const outlivesSilence = new Set<OutgoingCall>()
   const pendingRequests = new Map<number, (body: unknown) => void>()
+  /** Those who wait for a pong, by the number of its ping; pongs come in the order of the pings. */
+  const awaitedPongs = new Map<number, () => void>()
+  let pings = 0
+  let pongs = 0
   const write = createFrameWriter(socket)
   let nextStream = 1
   let nextRequest = 1
@@ -106,6 +110,7 @@
     for (const call of [...outgoing.values()]) call.lost(reason)
     for (const call of [...incoming.values()]) call.lost(reason)
     for (const settle of [...pendingRequests.values()]) settle(undefined)
+    for (const resolve of awaitedPongs.values()) resolve()
     handlers.onClose(reason)
   }
   // A silent peer may only be frozen or cut off for a while. Calls that it runs for this node go on unless they may be sent elsewhere, and
@@ -126,7 +131,7 @@
   const checkSilence = () => {
     if (silent) return closeIfUnused()
     if (silentChecks >= SILENT_CHECKS_LIMIT) return becomeSilent()
-    if (silentChecks > 0) write(0, { type: 'ping' })
+    if (silentChecks > 0) ping()
     silentChecks++
   }
   const callOpened = () => {
@@ -138,12 +143,33 @@
     if (outgoing.size + incoming.size === 0 && !silent) silenceChecks.remove(checkSilence)
   }
 
+  const ping = () => {
+    pings++
+    write(0, { type: 'ping' })
+  }
+  const ponged = () => {
+    pongs++
+    awaitedPongs.get(pongs)?.()
+    awaitedPongs.delete(pongs)
+  }
+  // The peer replies behind all that it has sent, and the calls of one turn share a ping.
+  let readingAll: Promise<void> | undefined
+  const readAll = (): Promise<void> => {
+    if (closed) return Promise.resolve()
+    if (readingAll !== undefined) return readingAll
+    ping()
+    setImmediate(() => { readingAll = undefined })
+    readingAll = new Promise((resolve) => { awaitedPongs.set(pings, resolve) })
+    return readingAll
+  }
+
   const receiveCall = (stream: number, { head, sentMs }: Extract<StreamMessage, { type: 'head' }>) => {
     const onClosed = () => {
       incoming.delete(stream)
       callClosed()
     }
-    const call = createIncomingCall(head, (msg) => write(stream, msg), onClosed, sentMs === undefined ? 0 : delay.waitedMs(sentMs))
+    const link = { waitedMs: sentMs === undefined ? 0 : delay.waitedMs(sentMs), readAll }
+    const call = createIncomingCall(head, (msg) => write(stream, msg), onClosed, link)
     incoming.set(stream, call)
     callOpened()
     handlers.onCall(call, peerVm)
@@ -163,7 +189,7 @@
         return
       case 'answer': return pendingRequests.get(msg.id)?.(msg.body)
       case 'ping': return write(0, { type: 'pong' })
-      case 'pong': return
+      case 'pong': return ponged()
       default: close(`unexpected message "${msg.type}" on the connection`)
     }
   }
--- a/packages/node/src/links/incoming-call.ts
+++ b/packages/node/src/links/incoming-call.ts
@@ -8,6 +8,8 @@
   head: CallHead
   /** Time for which the head waited on its way, as far as that is known, in ms; 0 for calls within a node. */
   waitedMs: number
+  /** Resolves once all messages that the caller had sent by now have been read; undefined if they can't have waited for long. */
+  linkCaughtUp: () => Promise<void> | undefined
   body: ByteQueue
   /** Aborts when the caller cancels the call or its connection closes. */
   signal: CancelSignal
@@ -25,8 +27,23 @@
   lost: (message: string) => void
 }
 
+/** What a call knows of the connection on which it came. */
+export type CallLink = {
+  /** Time for which the head waited on its way, in ms. */
+  waitedMs: number
+  /** Resolves once all messages that the peer had sent by now have been read, or the connection has closed. */
+  readAll: () => Promise<void>
+}
+
+const WITHIN_NODE: CallLink = { waitedMs: 0, readAll: () => Promise.resolve() }
+
+/** Wait of a head from which the messages behind it may be late as well, in ms. */
+const LINK_WAIT_LIMIT_MS = 100
+
 /** Creates the executor side of a call stream; `onClosed` is called once when the stream has ended. */
-export function createIncomingCall (head: CallHead, send: (msg: StreamMessage) => void, onClosed: () => void, waitedMs = 0): IncomingCall {
+export function createIncomingCall (
+  head: CallHead, send: (msg: StreamMessage) => void, onClosed: () => void, link: CallLink = WITHIN_NODE
+): IncomingCall {
   const abort = createCanceller()
   const recalled = createCanceller()
   let ended = false
@@ -46,7 +63,8 @@
   }
   return {
     head,
-    waitedMs,
+    waitedMs: link.waitedMs,
+    linkCaughtUp: () => link.waitedMs > LINK_WAIT_LIMIT_MS ? link.readAll() : undefined,
     body,
     signal: abort.signal,
     recalled: recalled.signal,
--- a/packages/node/src/testing/executor-link.ts
+++ b/packages/node/src/testing/executor-link.ts
@@ -8,6 +8,7 @@
 import { createInboundCalls } from '../calls/inbound-calls.js'
 import { noCrashGuard } from '../crashes/no-crash-guard.js'
 import { listenForPeers } from '../links/listener.js'
+import type { IncomingCall } from '../links/incoming-call.js'
 import type { CallHead } from '../links/messages.js'
 import { createPeerPool } from '../links/pool.js'
 import { createLocalTarget } from '../target/local-target.js'
@@ -35,6 +36,23 @@
   return { port: (server.address() as AddressInfo).port, paths }
 }
 
+/** Starts a peer listener that handles calls with `onCall`, and opens a connection to it. */
+export async function openLink (t: ExecutionContext, onCall: (call: IncomingCall) => void) {
+  const listener = await listenForPeers({
+    address: { host: HOST, port: 0 },
+    identity: { fleetKey: KEY, vmId: 'b' },
+    handlers: { onCall, onRequest: () => undefined },
+    onRejected: () => {}
+  })
+  const pool = createPeerPool({ fleetKey: KEY, vmId: 'a' }, () => undefined)
+  t.teardown(async () => {
+    pool.close()
+    await listener.close()
+  })
+  const found = await pool.get({ host: HOST, port: listener.port })
+  return { connection: 'openCall' in found ? found : found._unsafeUnwrap() }
+}
+
 /** Starts an executor behind a peer listener, and opens a connection to it on which a call has been answered. */
 export async function startExecutorLink (t: ExecutionContext) {
   const { port, paths } = await startCountingTarget(t)
@@ -51,19 +69,7 @@
     clock: systemClock,
     callRefusal: () => undefined
   })
-  const listener = await listenForPeers({
-    address: { host: HOST, port: 0 },
-    identity: { fleetKey: KEY, vmId: 'b' },
-    handlers: { onCall: executor.execute, onRequest: () => undefined },
-    onRejected: () => {}
-  })
-  const pool = createPeerPool({ fleetKey: KEY, vmId: 'a' }, () => undefined)
-  t.teardown(async () => {
-    pool.close()
-    await listener.close()
-  })
-  const found = await pool.get({ host: HOST, port: listener.port })
-  const connection = 'openCall' in found ? found : found._unsafeUnwrap()
+  const { connection } = await openLink(t, executor.execute)
   t.is((await connection.openCall(shopHead('/warm')).reply).kind, 'head')
   paths.length = 0
   return { connection, paths }
