Count the time of a turn against the deadline of what it reads last

Cause: a request's deadline started when its handler ran.

Change: the caller server passes on the time since the first read of the turn as a wait, for requests that don't come behind another of their connection: those may have arrived meanwhile.

A test of the order of requests expected a wait of exactly 0 and saw the reads of the tests beside it; its server has reads of its own now, and the check is unchanged.

--- a/packages/node/src/net/socket-reads.ts
+++ b/packages/node/src/net/socket-reads.ts
@@ -6,7 +6,7 @@
   noteRead: () => void
   /** Notes that a connection was accepted, on which bytes, and its end, may have waited since before that. */
   noteAccepted: () => void
-  /** Shortest time for which what is read now has waited, in ms; 0 outside of the reading of sockets. */
+  /** Shortest time for which what was last noted as read in this turn had waited, in ms; 0 outside of the reading of sockets. */
   waitedMs: () => number
   /** Longest time for which anything can have been left unread, in ms; it includes times in which nothing arrived. */
   unreadMs: () => number
@@ -30,6 +30,7 @@
 export function createSocketReads (clock: Clock): SocketReads {
   let isNoted = false
   let firstReadMs: number | undefined
+  let lastReadMs = 0
   let turnMs = clock.nowMs()
   let previousTurnMs = turnMs
   let earlierTurnMs = turnMs
@@ -70,9 +71,10 @@
   return {
     noteRead: () => {
       noteTurn()
-      firstReadMs ??= clock.nowMs()
+      lastReadMs = clock.nowMs()
+      firstReadMs ??= lastReadMs
     },
-    waitedMs: () => firstReadMs === undefined ? 0 : clock.nowMs() - firstReadMs,
+    waitedMs: () => firstReadMs === undefined ? 0 : lastReadMs - firstReadMs,
     noteAccepted: () => {
       noteTurn()
       acceptedSinceMs = Math.min(acceptedSinceMs, Math.max(earlierTurnMs, readUpToMs))
--- a/packages/node/src/server/caller-connections.test.ts
+++ b/packages/node/src/server/caller-connections.test.ts
@@ -1,8 +1,10 @@
 import { once } from 'node:events'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { connect, type Socket } from 'node:net'
+import { systemClock } from '@orioleslip/core'
 import { socketClosed } from '@orioleslip/core/testing'
 import test, { type ExecutionContext } from 'ava'
+import { createSocketReads } from '../net/socket-reads.js'
 import type { UnansweredEnd } from './caller-connections.js'
 import { startCallerServer, type CallerServerOptions } from './caller-server.js'
 
@@ -19,7 +21,9 @@
     req.resume()
     requests.set(req.url!, res)
   }
-  const server = await startCallerServer({ host, port: 0 }, handle, handle, options)
+  // Reads of the tests beside this one don't count.
+  const reads = createSocketReads(systemClock)
+  const server = await startCallerServer({ host, port: 0 }, handle, handle, { reads, ...options })
   const socket = connect(server.port, host)
   let text = ''
   socket.on('data', (chunk: Buffer) => { text += chunk.toString() })
--- a/packages/node/src/server/caller-server.test.ts
+++ b/packages/node/src/server/caller-server.test.ts
@@ -1,5 +1,6 @@
 import { once } from 'node:events'
 import { Agent, request, type IncomingMessage, type ServerResponse } from 'node:http'
+import { connect } from 'node:net'
 import test from 'ava'
 import { startCallerServer } from './caller-server.js'
 
@@ -53,3 +54,28 @@
   await drained
   t.pass()
 })
+
+// Guards against a deadline that starts late: a turn of a busy process may take long, and what it reads last has waited for all of it.
+test('a request has waited for the time in which its turn of the event loop handled others', async (t) => {
+  const workMs = 300
+  const waits: number[] = []
+  const handle = async (_req: IncomingMessage, res: ServerResponse, waitedMs: number) => {
+    waits.push(waitedMs)
+    if (waits.length === 3) Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, workMs)
+    res.end()
+  }
+  const server = await startCallerServer({ host, port: 0 }, handle, handle)
+  const sockets = [connect({ host, port: server.port }), connect({ host, port: server.port })]
+  const send = () => { for (const socket of sockets) socket.write('GET /a/b HTTP/1.1\r\nhost: a\r\n\r\n') }
+  await Promise.all(sockets.map((socket) => once(socket, 'connect')))
+  const answered = Promise.all(sockets.map((socket) => once(socket, 'data')))
+  send()
+  await answered
+  const answeredAgain = Promise.all(sockets.map((socket) => once(socket, 'data')))
+  send()
+  await answeredAgain
+  t.true(waits[2]! < workMs)
+  t.true(waits[3]! >= workMs)
+  server.abort()
+  await server.drain()
+})
--- a/packages/node/src/server/caller-server.ts
+++ b/packages/node/src/server/caller-server.ts
@@ -5,7 +5,7 @@
 import { processReads, type SocketReads } from '../net/socket-reads.js'
 import { createCallerConnections, type UnansweredEnd } from './caller-connections.js'
 
-/** Handles a request that has waited for `waitedMs` behind earlier ones of its connection. */
+/** Handles a request that has waited for `waitedMs` at least, behind earlier ones of its connection or in its socket. */
 export type RequestListener = (req: IncomingMessage, res: ServerResponse, waitedMs: number) => Promise<void>
 
 export type CallerServer = {
@@ -46,11 +46,13 @@
   const connections = createCallerConnections(clock, onUnanswered)
   const listener = (req: IncomingMessage, res: ServerResponse) => {
     reads.noteRead()
+    const readWaitMs = reads.waitedMs()
     connections.handle(req, res, (waitedMs) => {
       if (stopping()) res.shouldKeepAlive = false
       server.keepAliveTimeout = limits().idleTimeoutMs
       const handle = req.url?.startsWith(WELL_KNOWN_PREFIX) === true ? onWellKnown : onCall
-      handle(req, res, waitedMs).catch(() => res.destroy())
+      // What came behind another request may have arrived while this turn was reading.
+      handle(req, res, waitedMs === 0 ? readWaitMs : waitedMs).catch(() => res.destroy())
     })
   }
   const server = createServer({
