Forget the fastest transfer of a connection over a pause without calls

The fastest transfer of the last period was the base of the next one however long ago that period was. Two clocks that drift apart by 50 ppm differ by 180 ms after an hour without a call, which counted as a wait of the first calls after it, so that one with less time left was refused though it was in time.

Change: a period that ended more than one period ago is no base.

Evidence: 'a transfer before a long pause is no measure of those after it' (link-delay.test.ts) failed before (300 in place of 0) and passes now.

--- a/packages/node/src/links/link-delay.ts
+++ b/packages/node/src/links/link-delay.ts
@@ -45,7 +45,7 @@
     waitedMs: (sentMs) => {
       const nowMs = clock.nowMs()
       if (nowMs >= periodEndMs) {
-        previousShortestMs = shortestMs
+        previousShortestMs = nowMs < periodEndMs + BASE_PERIOD_MS ? shortestMs : Infinity
         shortestMs = Infinity
         periodEndMs = nowMs + BASE_PERIOD_MS
       }
