--- a/packages/node/src/calls/late-calls.test.ts
+++ b/packages/node/src/calls/late-calls.test.ts
@@ -12,8 +12,10 @@
 /** Time in which a request that is sent to the target would have arrived there, in ms. */
 const SETTLE_MS = 300
 
+// The tests run one after the other: several keep this process from running, and a call of a neighbour would lose that time.
+
 // Guards against a deadline that does not count the time in which the head of a call waited in a queue, on the link or in a socket.
-test('a call whose deadline passed before its head was read is refused as not run', async (t) => {
+test.serial('a call whose deadline passed before its head was read is refused as not run', async (t) => {
   const { connection, paths } = await startExecutorLink(t)
   const call = connection.openCall(shopHead('/late', GAP_MS - 200))
   // The frames of a turn are written at its end.
@@ -26,7 +28,7 @@
 })
 
 // Guards against calls that are refused for a wait on their way though their callers still wait.
-test('a call that waited on its way, but not past its deadline, is sent to the target', async (t) => {
+test.serial('a call that waited on its way, but not past its deadline, is sent to the target', async (t) => {
   const { connection, paths } = await startExecutorLink(t)
   const call = connection.openCall(shopHead('/in-time', GAP_MS + 2000))
   await nextTurn()
@@ -46,7 +48,7 @@
 
 // Guards against work for callers that have left: the node reads a request after a gap and passes it on before it reads, in the next turn
 // of the event loop, that the caller has closed the connection behind it.
-test('a request whose caller left before the node could read it is not sent to the target', async (t) => {
+test.serial('a request whose caller left before the node could read it is not sent to the target', async (t) => {
   const { port, paths } = await startCountingTarget(t)
   const pair = await startNodePair({ targetPort: port })
   t.teardown(pair.stop)
@@ -63,7 +65,7 @@
 })
 
 // Guards against work for callers that have left: after a gap the heads that fill one read are passed on before their cancels are read.
-test('calls that were cancelled before the executor could read them are not sent to the target', async (t) => {
+test.serial('calls that were cancelled before the executor could read them are not sent to the target', async (t) => {
   const { connection, paths } = await startExecutorLink(t)
   const calls = Array.from({ length: 100 }, (_, i) => connection.openCall(shopHead(`/${i}/${'x'.repeat(1500)}`)))
   for (const call of calls) call.cancel()
@@ -75,7 +77,7 @@
 })
 
 // Guards against work for callers that have left: what a connection brings that waited to be accepted is as old as that wait.
-test('a request whose caller connected and left before the node could accept it is not sent to the target', async (t) => {
+test.serial('a request whose caller connected and left before the node could accept it is not sent to the target', async (t) => {
   const { port, paths } = await startCountingTarget(t)
   const pair = await startNodePair({ targetPort: port })
   t.teardown(pair.stop)
@@ -95,7 +97,7 @@
 })
 
 // Guards against a call that is sent although its cancel is on its way behind a head that came late.
-test('a call that came late is cancelled once the messages behind its head have been read', async (t) => {
+test.serial('a call that came late is cancelled once the messages behind its head have been read', async (t) => {
   const calls: IncomingCall[] = []
   const { connection } = await openLink(t, (call) => { calls.push(call) })
   const call = connection.openCall(shopHead('/late'))
