--- a/packages/control/src/api/server.ts
+++ b/packages/control/src/api/server.ts
@@ -1,7 +1,7 @@
 import type { AddressInfo } from 'node:net'
-import { createServer, type Server } from 'node:http'
+import { createServer } from 'node:http'
 import { getRequestListener } from '@hono/node-server'
-import { withWholeBodies, type BodyLimit, type RequestVerifier } from '@orioleslip/core'
+import { closeConnectionsInOrder, stopServer, trackIdleConnections, withWholeBodies, type BodyLimit, type RequestVerifier } from '@orioleslip/core'
 import { fetchRequestHandler } from '@trpc/server/adapters/fetch'
 import { Hono } from 'hono'
 import { err, ok, type Result } from 'neverthrow'
@@ -17,7 +17,6 @@
 const BODY_LIMIT: BodyLimit = { maxBytes: 8 * 1024 * 1024, tooLarge: { type: 'text/plain', text: 'the body exceeds 8 MiB' } }
 // Exceeds the log's limit for a proposal (3 s), so that operators get the reply to an edit in progress.
 const CLOSE_TIMEOUT_MS = 4000
-const CLOSE_IDLE_INTERVAL_MS = 50
 
 /** Starts the control API. Port 0 selects a free port, for tests. */
 export function startApiServer (options: {
@@ -53,28 +52,15 @@
 
   return new Promise((resolve) => {
     const server = createServer(withWholeBodies(getRequestListener(app.fetch), BODY_LIMIT))
+    closeConnectionsInOrder(server, trackIdleConnections(server))
     server.once('error', (cause: NodeJS.ErrnoException) => {
       const remedy = cause.code === 'EADDRINUSE' ? 'stop the other process or change control.apiPort' : 'check vm.address and control.apiPort'
       resolve(err({ kind: 'listenFailed', message: `cannot listen on ${address}:${options.port} (${cause.code ?? cause.message}); ${remedy}` }))
     })
     server.once('listening', () => resolve(ok({
       port: (server.address() as AddressInfo).port,
-      stop: () => closeServer(server)
+      stop: () => stopServer(server, CLOSE_TIMEOUT_MS)
     })))
     server.listen(options.port, address)
   })
 }
-
-/** Lets calls in progress finish. Clients keep connections open between calls, so connections are closed as they become idle. */
-function closeServer (server: Server): Promise<void> {
-  return new Promise((resolve) => {
-    const closeIdle = setInterval(() => server.closeIdleConnections(), CLOSE_IDLE_INTERVAL_MS)
-    const forceClose = setTimeout(() => server.closeAllConnections(), CLOSE_TIMEOUT_MS)
-    server.close(() => {
-      clearInterval(closeIdle)
-      clearTimeout(forceClose)
-      resolve()
-    })
-    server.closeIdleConnections()
-  })
-}
--- /dev/null
+++ b/packages/core/src/http/close-in-order.ts
@@ -0,0 +1,85 @@
+import type { Server } from 'node:http'
+import type { Socket } from 'node:net'
+
+/** Longest time for which a closed connection is read on, in ms. */
+const LINGER_MS = 3000
+/** Number of bytes that are discarded before a pause, and the pause, in ms, so that a client that sends without end costs little. */
+const DISCARD_BURST_BYTES = 1024 * 1024
+const DISCARD_PAUSE_MS = 20
+
+/**
+ * Closes a connection behind its last response, or behind `lastBytes` (RFC 9112, section 9.6): the writing side ends, and what still
+ * arrives is discarded until the client closes its side, for a limited time. Bytes that arrive at a closed socket reset the connection,
+ * and the client would lose what it has not read yet. No request is read from the connection any more.
+ */
+export function closeInOrder (socket: Socket, lastBytes?: string): void {
+  if (socket.destroyed || socket.writableEnded) return
+  if (lastBytes === undefined) socket.end()
+  else socket.end(lastBytes)
+  socket.setTimeout(0)
+  discardInput(socket)
+  const timer = setTimeout(() => socket.destroy(), LINGER_MS)
+  socket.once('close', () => clearTimeout(timer))
+}
+
+function discardInput (socket: Socket): void {
+  let burstBytes = 0
+  const discard = (chunk: Buffer) => {
+    burstBytes += chunk.length
+    if (burstBytes < DISCARD_BURST_BYTES) return
+    burstBytes = 0
+    socket.pause()
+    setTimeout(() => socket.resume(), DISCARD_PAUSE_MS)
+  }
+  // Node.js may have stopped to read, and its listener of this event is the one that starts again.
+  socket.pause()
+  socket.once('resume', () => {
+    // Its listener of data would take the bytes for further requests.
+    socket.removeAllListeners('data')
+    socket.on('data', discard)
+  })
+  socket.resume()
+}
+
+/**
+ * Lets a server close its connections in order: behind a response that ends its connection, after the idle timeout, and in `close` and
+ * `closeIdleConnections`, for which `isIdle` tells the connections without an open request.
+ */
+export function closeConnectionsInOrder (server: Server, isIdle: (socket: Socket) => boolean): void {
+  const sockets = new Set<Socket>()
+  server.on('connection', (socket) => {
+    sockets.add(socket)
+    socket.once('close', () => sockets.delete(socket))
+    // Node.js calls it once the response that ends the connection has been written.
+    socket.destroySoon = () => closeInOrder(socket)
+  })
+  server.on('timeout', (socket) => closeInOrder(socket))
+  server.closeIdleConnections = () => { for (const socket of sockets) if (isIdle(socket)) closeInOrder(socket) }
+}
+
+/** Returns a function that tells the connections of a server on which no request is open. */
+export function trackIdleConnections (server: Server): (socket: Socket) => boolean {
+  const openRequests = new WeakMap<Socket, number>()
+  const add = (socket: Socket, count: number) => openRequests.set(socket, (openRequests.get(socket) ?? 0) + count)
+  server.prependListener('request', ({ socket }, res) => {
+    add(socket, 1)
+    res.once('close', () => add(socket, -1))
+  })
+  return (socket) => (openRequests.get(socket) ?? 0) === 0
+}
+
+/** Time between two looks for connections that have become idle, in ms. */
+const CLOSE_IDLE_INTERVAL_MS = 50
+
+/** Stops a server whose connections close in order: open requests are answered for up to `timeoutMs`; then their connections are cut. */
+export function stopServer (server: Server, timeoutMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    const closeIdle = setInterval(() => server.closeIdleConnections(), CLOSE_IDLE_INTERVAL_MS)
+    const cut = setTimeout(() => server.closeAllConnections(), timeoutMs)
+    server.close(() => {
+      clearInterval(closeIdle)
+      clearTimeout(cut)
+      resolve()
+    })
+  })
+}
--- a/packages/node/src/server/caller-connections.test.ts
+++ b/packages/node/src/server/caller-connections.test.ts
@@ -34,8 +34,8 @@
     server.abort()
     return server.drain()
   })
-  const answer = (path: string) => requests.get(path)!.writeHead(200, ['content-length', String(path.length)]).end(path)
-  return { socket, started, waited, answer, received: () => text }
+  const answerWith = (path: string, body: string) => requests.get(path)!.writeHead(200, ['content-length', String(body.length)]).end(body)
+  return { socket, started, waited, answer: (path: string) => answerWith(path, path), answerWith, received: () => text }
 }
 
 const get = (...paths: string[]) => paths.map((path) => `GET ${path} HTTP/1.1\r\nhost: x\r\n\r\n`).join('')
@@ -82,9 +82,38 @@
   await closed(socket)
   t.true(received().endsWith('/a'))
   t.deepEqual(started, ['/a'])
+  // The client closes its side first.
+  await until(t, () => ends.length === 1)
   t.deepEqual(ends.map(({ unanswered, unread, byResponse }) => [unanswered.length, unread, byResponse]), [[0, 2, true]])
 })
 
+/** Bytes of a response that its client reads slowly, time for which it does not read, and between its further requests, in ms. */
+const LARGE_BYTES = 300_000
+const UNREAD_MS = 300
+const SEND_MS = 5
+
+// Guards against an answer that is lost in a planned stop, because the close behind it resets the connection when further requests of its
+// client arrive (review/12), and against further requests that are passed on although their answers can't be sent any more.
+test('the response that closes a connection arrives whole while its client sends further requests, none of which is handled', async (t) => {
+  const { socket, started, answerWith, received } = await startServer(t, { stopping: () => true })
+  let isReset = false
+  socket.on('error', () => { isReset = true })
+  socket.pause()
+  const ended = socketClosed(socket)
+  const sending = setInterval(() => socket.write(get('/behind')), SEND_MS)
+  t.teardown(() => clearInterval(sending))
+  socket.write(get('/a'))
+  await until(t, () => started.includes('/a'))
+  answerWith('/a', 'x'.repeat(LARGE_BYTES))
+  await new Promise((resolve) => setTimeout(resolve, UNREAD_MS))
+  socket.resume()
+  socket.once('end', () => clearInterval(sending))
+  await ended
+  t.false(isReset)
+  t.true(received().endsWith('x'.repeat(LARGE_BYTES)))
+  t.deepEqual(started, ['/a'])
+})
+
 // Guards against requests that are passed on although their client has left.
 test('a request behind the one that is open when the client leaves is not handled', async (t) => {
   const ends: UnansweredEnd[] = []
--- a/packages/node/src/server/caller-connections.ts
+++ b/packages/node/src/server/caller-connections.ts
@@ -1,7 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import { bodyLength, type Clock } from '@orioleslip/core'
-import { closeWhileReceiving } from '../calls/request-end.js'
 import { closeWithRefusal } from './malformed-bytes.js'
 
 /** A caller's connection that has ended before each of its requests got a whole response. */
@@ -20,6 +19,8 @@
   handle: (req: IncomingMessage, res: ServerResponse, handler: (waitedMs: number) => void) => void
   /** Ends a connection whose next bytes are no request, once the requests before them have been answered. */
   refuseMalformed: (err: NodeJS.ErrnoException, socket: Socket) => void
+  /** True if no request of the connection waits or is being handled. */
+  isIdle: (socket: Socket) => boolean
 }
 
 /** Number of requests that wait on one connection before no more are read from it. */
@@ -39,16 +40,6 @@
   refuse: (() => void) | undefined
 }
 
-/** Replaces how Node.js closes the connection behind a response: a client that is still sending the body would get a reset. */
-function closeInOrder (socket: Socket, connection: Connection): void {
-  const destroySoon = socket.destroySoon.bind(socket)
-  socket.destroySoon = () => {
-    const { current } = connection
-    if (current === undefined || current.complete) destroySoon()
-    else closeWhileReceiving(current)
-  }
-}
-
 /**
  * Creates the order, in which the requests of a connection are handled one after the other: a response may have to end the connection, and
  * then a request behind it that has been passed on runs without a response, while one that has not can be sent again. `onUnanswered` is
@@ -64,7 +55,6 @@
       open: new Set(), current: undefined, waiting: 0, hasWaitingBody: false, byResponse: false, last: undefined, refuse: undefined
     }
     connections.set(socket, connection)
-    closeInOrder(socket, connection)
     socket.once('close', () => {
       const { open, waiting, byResponse } = connection
       if (open.size + waiting > 0) onUnanswered({ unanswered: [...open], unread: waiting, byResponse })
@@ -73,6 +63,7 @@
   }
 
   const limitReading = (socket: Socket, connection: Connection): void => {
+    if (socket.writableEnded) return
     const isFull = connection.waiting > MAX_WAITING_REQUESTS || connection.hasWaitingBody
     if (isFull) socket.pause()
     else if (socket.isPaused()) socket.resume()
@@ -91,6 +82,8 @@
   return {
     handle: (req, res, handler) => {
       const { socket } = req
+      // Behind the response that closes the connection there is none.
+      if (socket.writableEnded) return
       const connection = connectionOf(socket)
       connection.last = { req, res }
       // Node.js assigns the socket to one response after the other.
@@ -111,7 +104,12 @@
         })
       })
     },
+    isIdle: (socket) => {
+      const connection = connections.get(socket)
+      return connection === undefined || connection.open.size + connection.waiting === 0
+    },
     refuseMalformed: (err, socket) => {
+      if (socket.writableEnded) return
       const connection = connectionOf(socket)
       // Node.js reports each further read.
       if (connection.refuse !== undefined) return
--- a/packages/node/src/server/caller-server.ts
+++ b/packages/node/src/server/caller-server.ts
@@ -1,6 +1,6 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import { systemClock, WELL_KNOWN_PREFIX, type Clock, type PeerAddress } from '@orioleslip/core'
+import { closeConnectionsInOrder, systemClock, WELL_KNOWN_PREFIX, type Clock, type PeerAddress } from '@orioleslip/core'
 import { listen } from '../net/listen.js'
 import { processReads, type SocketReads } from '../net/socket-reads.js'
 import { createCallerConnections, type UnansweredEnd } from './caller-connections.js'
@@ -63,15 +63,13 @@
     requestTimeout: 0,
     noDelay: true
   }, listener)
+  closeConnectionsInOrder(server, connections.isIdle)
   server.on('connection', reads.noteAccepted)
   server.on('clientError', (err, socket) => connections.refuseMalformed(err, socket as Socket))
   const port = await listen(server, address)
   return {
     port,
-    drain: () => new Promise((resolve) => {
-      server.close(() => resolve())
-      server.closeIdleConnections()
-    }),
+    drain: () => new Promise((resolve) => { server.close(() => resolve()) }),
     abort: () => server.closeAllConnections()
   }
 }
--- a/packages/node/src/server/malformed-bytes.ts
+++ b/packages/node/src/server/malformed-bytes.ts
@@ -1,8 +1,6 @@
 import { STATUS_CODES, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-
-/** Longest time in which the client can read the refusal before the connection is closed for good, in ms. */
-const LINGER_MS = 1000
+import { closeInOrder } from '@orioleslip/core'
 
 /** Status for an error of the HTTP parser. */
 function statusOf ({ code }: NodeJS.ErrnoException): number {
@@ -25,8 +23,5 @@
     return
   }
   const status = statusOf(err)
-  // Closing at once would reset the connection if more bytes arrive, and the client would lose what it has not read yet.
-  socket.end(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`)
-  const timer = setTimeout(() => socket.destroy(), LINGER_MS)
-  socket.once('close', () => clearTimeout(timer))
+  closeInOrder(socket, `HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`)
 }
