--- a/packages/node/src/crashes/guarded-target.ts
+++ b/packages/node/src/crashes/guarded-target.ts
@@ -1,9 +1,11 @@
-import type { Clock } from '@orioleslip/core'
+import type { Clock, MembersView } from '@orioleslip/core'
 import type { PeerPool } from '../links/pool.js'
 import type { Log } from '../members/self-record.js'
 import type { Announcement } from '../target/local-target.js'
 import { createTargetLifecycle, type TargetLifecycle, type TargetLifecycleOptions } from '../target/target-lifecycle.js'
-import { createCrashGuard, type CrashGuard, type CrashGuardOptions } from './crash-guard.js'
+import { createRememberedTarget, type RememberedTarget } from '../withdrawals/remembered-target.js'
+import { createWithdrawalCopies } from '../withdrawals/withdrawal-copies.js'
+import { createCrashGuard, type CrashGuard } from './crash-guard.js'
 
 /** Dependencies of `createGuardedTarget`. */
 export type GuardedTargetOptions = Pick<TargetLifecycleOptions, 'target' | 'availability' | 'watch'> & {
@@ -11,36 +13,36 @@
   log: Log
   /** Address of this VM. */
   host: string
-  members: CrashGuardOptions['members'] & { isConfirmed: () => boolean }
+  members: Pick<MembersView, 'self' | 'all' | 'ofService' | 'onChange'> & { isConfirmed: () => boolean }
   pool: () => PeerPool
 }
 
-/** The local target with the guard against requests that end it. */
-export type GuardedTarget = {
+/** The local target with the guard against requests that end it, and the memory of its withdrawals at other nodes. */
+export type GuardedTarget = RememberedTarget & {
   crashes: CrashGuard
   lifecycle: TargetLifecycle
-  /** Applies an announcement; false when it is older than the one in effect. */
-  announce: (announcement: Announcement) => boolean
+  /** Handles a request of another node; undefined for one of another kind. */
+  handleRequest: (kind: string, body: unknown) => unknown
 }
 
 /** Creates the lifecycle of the local target, which a crash takes out of service, and the guard that recognises crashes. */
 export function createGuardedTarget ({ host, members, pool, ...shared }: GuardedTargetOptions): GuardedTarget {
-  const crashes: CrashGuard = createCrashGuard({
-    ...shared,
-    host,
-    members,
-    request: (...args) => pool().request(...args),
-    onCrash: (process) => lifecycle.processEnded(process)
-  })
+  const { clock, log, target } = shared
+  const request: PeerPool['request'] = (...args) => pool().request(...args)
+  const crashes: CrashGuard = createCrashGuard({ ...shared, host, members, request, onCrash: (process) => lifecycle.processEnded(process) })
   const lifecycle: TargetLifecycle = createTargetLifecycle({
     ...shared, isConfirmed: members.isConfirmed, isListening: crashes.isListening
   })
+  const copies = createWithdrawalCopies({ members, request, clock, log })
+  const { announce, withdraw } = createRememberedTarget({ target, lifecycle, copies, members, clock })
   return {
     crashes,
     lifecycle,
-    announce: (announcement) => {
+    announce: (announcement: Announcement) => {
       crashes.takeOver(announcement.service)
-      return lifecycle.announce(announcement)
-    }
+      return announce(announcement)
+    },
+    withdraw,
+    handleRequest: (kind, body) => crashes.handleRequest(kind, body) ?? copies.handle(kind, body)
   }
 }
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -85,13 +85,13 @@
     ? createQuotas({ members, requestQuota: createQuotaRequestSender(() => pool, members), clock, vmId: vm.id })
     : unlimitedQuotas
   const handleEntryRequest = createPeerRequestHandler(ledger, quotas)
-  const handlePeerRequest = (kind: string, body: unknown) => handleEntryRequest(kind, body) ?? crashes.handleRequest(kind, body)
+  const handlePeerRequest = (kind: string, body: unknown) => handleEntryRequest(kind, body) ?? handleRequest(kind, body)
   const pool = createPeerPool({ fleetKey, vmId: vm.id }, handlePeerRequest)
 
   const control = createControlCall({ controls: settings.controls, fleetKey, clock, random })
   const register = createRegisterClient(control.call)
   const guard = createIdempotencyGuard({ register, clock, log, vmId: vm.id })
-  const { crashes, lifecycle, announce } = createGuardedTarget({
+  const { crashes, lifecycle, announce, handleRequest } = createGuardedTarget({
     target, availability, watch, clock, log, host: vm.address, members, pool: () => pool
   })
   const { callRefusal, sendRefusal, onSent, onNotices } = lifecycle
--- a/packages/node/src/quotas/owner.ts
+++ b/packages/node/src/quotas/owner.ts
@@ -1,5 +1,6 @@
 import { fnv1a } from '@orioleslip/core'
 import type { Member, MembersView } from '@orioleslip/core'
+import { rendezvousWeight } from '../members/rendezvous.js'
 
 const MAX_CACHED_OWNERS = 20_000
 
@@ -25,16 +26,6 @@
   return { candidates, fraction: Math.max(1, alive.length) / known, known }
 }
 
-/** Rendezvous hashing weight of a node for a customer: a 32-bit mix of both hashes. */
-function rendezvousWeight (customerHash: number, salt: number): number {
-  let mixed = Math.imul(customerHash ^ salt, 0x9e3779b1)
-  mixed ^= mixed >>> 15
-  mixed = Math.imul(mixed, 0x85ebca6b)
-  mixed ^= mixed >>> 13
-  mixed = Math.imul(mixed, 0xc2b2ae35)
-  return (mixed ^ (mixed >>> 16)) >>> 0
-}
-
 function rendezvousOwner (customer: string, { candidates }: Snapshot): string | undefined {
   const customerHash = fnv1a(customer)
   let best: string | undefined
--- a/packages/node/src/routes/routed-node.ts
+++ b/packages/node/src/routes/routed-node.ts
@@ -50,10 +50,10 @@
 
 /** A running node that forwards requests by routes. */
 export type RoutedNode = RunningNode & {
-  /** Applies an announcement of the local target; false when it is older than the one in effect. */
-  announce: (announcement: Announcement) => boolean
-  /** Marks the target of this instance as leaving; false when another instance is in effect. */
-  withdraw: (instance: string) => boolean
+  /** Applies an announcement of the local target; false when it is older than the one in effect, or has to wait. */
+  announce: (announcement: Announcement) => Promise<boolean>
+  /** Marks the target of this instance as leaving; resolves once other nodes know of it, with false when another instance is in effect. */
+  withdraw: (instance: string) => Promise<boolean>
   /** True while callers should send their requests here. */
   isReady: () => boolean
 }
@@ -88,8 +88,8 @@
   })
   target.onStarted(gate.targetStarted)
   const watch = createTargetWatch({ clock, log, publish: (record) => members.announceTarget(record), silenceMs: cfg.targetSilenceMs })
-  const pool = createPeerPool({ fleetKey, vmId: vm.id }, (kind, body) => crashes.handleRequest(kind, body))
-  const { crashes, lifecycle, announce } = createGuardedTarget({
+  const pool = createPeerPool({ fleetKey, vmId: vm.id }, (kind, body) => handleRequest(kind, body))
+  const { crashes, lifecycle, announce, withdraw, handleRequest } = createGuardedTarget({
     target, availability, watch, clock, log, host: vm.address, members, pool: () => pool
   })
   const executor = createExecutor({
@@ -117,7 +117,7 @@
   const listener = await listenForPeers({
     address: peerAddress,
     identity: { fleetKey, vmId: vm.id },
-    handlers: { onCall: executor.execute, onRequest: crashes.handleRequest },
+    handlers: { onCall: executor.execute, onRequest: handleRequest },
     onRejected: (remote, message) => log.warn({ event: 'peer-rejected', remote }, `peer connection rejected: ${message}`)
   })
   const budget = createRepeatBudget({
@@ -195,7 +195,7 @@
     stop,
     isReady: () => !availability.stopping() && routes() !== undefined && members.isConfirmed(),
     announce,
-    withdraw: lifecycle.withdraw
+    withdraw
   }
 }
 
--- a/packages/node/src/server/well-known.ts
+++ b/packages/node/src/server/well-known.ts
@@ -11,7 +11,7 @@
   /** `address:port` of the caller listener, which is part of what signed requests are signed for. */
   authority: string
   verify: RequestVerifier
-  announce: (announcement: Announcement) => boolean
+  announce: (announcement: Announcement) => Promise<boolean>
   records: DecisionRecords
   members: () => Member[]
   stats: () => StatsSnapshot
@@ -37,7 +37,7 @@
       const issues = parsed.error.issues.map((issue) => `${issue.path.join('.') || 'body'}: ${issue.message}`)
       return c.json({ error: `malformed announcement: ${issues.join('; ')}` }, 400)
     }
-    return c.json({ accepted: options.announce(parsed.data) })
+    return c.json({ accepted: await options.announce(parsed.data) })
   })
   // The endpoints below are for operators and processes of the fleet, not for callers.
   app.use('*', async (c, next) => {
--- a/packages/node/src/target/local-target.ts
+++ b/packages/node/src/target/local-target.ts
@@ -1,7 +1,8 @@
 import { z } from 'zod'
 import { fnv1a, systemClock, type PeerAddress } from '@orioleslip/core'
 import { createTargetClient, type TargetClient, type TargetClientOptions } from './target-client.js'
-import { createWithdrawals } from './withdrawals.js'
+import { createWithdrawals } from '../withdrawals/withdrawals.js'
+import type { Withdrawal } from '../withdrawals/withdrawal.js'
 
 /** Body of a target's announcement, `PUT /.well-known/orioleslip/target`. */
 export const announcementSchema = z.strictObject({
@@ -26,6 +27,10 @@
   announce: (announcement: Announcement) => boolean
   /** Marks the instance as leaving, whatever its late announcements say, the first ones included; false if it is not the current one. */
   withdraw: (instance: string) => boolean
+  /** Takes over a withdrawal from a predecessor of this node's process. */
+  inherit: (withdrawal: Withdrawal) => void
+  /** True if the process that sent the announcement said to a predecessor of this node's process that it leaves. */
+  leftPredecessor: (announcement: Announcement) => boolean
   /** Id of the current process if it has withdrawn; undefined otherwise. */
   leavingProcess: () => number | undefined
   /** Marks the process as ended by itself; false if another one is current. */
@@ -77,11 +82,14 @@
     },
     withdraw: (instance) => {
       const announced = active?.announcement.instance === instance ? active : undefined
-      withdrawals.add(instance, announced?.announcement)
+      const startedMs = announced?.announcement.startedMs
+      withdrawals.add({ instance, ageMs: 0, ...(startedMs === undefined ? {} : { startedMs }) })
       if (announced === undefined) return false
       announced.announcement = { ...announced.announcement, state: 'leaving', sequence: WITHDRAWN_SEQUENCE }
       return true
     },
+    inherit: withdrawals.add,
+    leftPredecessor: withdrawals.haveProcessOf,
     leavingProcess: () => active?.announcement.sequence === WITHDRAWN_SEQUENCE ? processIdOf(active.announcement) : undefined,
     markEnded: (process) => {
       if (active === undefined || !isSameProcess(active.announcement, process)) return false
--- a/packages/node/src/target/target-lifecycle.ts
+++ b/packages/node/src/target/target-lifecycle.ts
@@ -4,6 +4,7 @@
 import type { Log } from '../members/self-record.js'
 import type { TargetWatch } from '../members/target-watch.js'
 import type { Availability } from '../server/drain.js'
+import type { Withdrawal } from '../withdrawals/withdrawal.js'
 import { isSameProcess, processIdOf, type Announcement, type LocalTarget } from './local-target.js'
 import type { TargetNotices } from './target-notices.js'
 
@@ -26,6 +27,8 @@
   announce: (announcement: Announcement) => boolean
   /** Marks this instance as leaving, whatever its later announcements say; false when another instance is in effect. */
   withdraw: (instance: string) => boolean
+  /** Takes over withdrawals from a predecessor of this node's process. */
+  inherit: (withdrawals: Withdrawal[]) => void
   /** Takes the target process out of service, because it has ended by itself. */
   processEnded: (process: Announcement) => void
   /** Refusal for a call that this node must not accept; undefined otherwise. */
@@ -72,13 +75,28 @@
     // The time in which a leaving target still gets calls began before this process started.
     availability.targetLeft()
   }
+
   // An announcement of a process that has ended may have been on its way for seconds.
   const checkEnded = async (announcement: Announcement): Promise<void> => {
     if (await options.isListening(announcement) && target.hasEnded(announcement)) target.markRunning()
   }
 
+  const isLeavingSincePredecessor = (announcement: Announcement): boolean =>
+    announcement.state === 'leaving' && target.leftPredecessor(announcement)
+
+  const inherit = (withdrawals: Withdrawal[]): void => {
+    for (const withdrawal of withdrawals) {
+      const { instance, startedMs, ageMs } = withdrawal
+      log.info({ event: 'withdrawal-inherited', instance, startedMs, ageMs: Math.round(ageMs) }, 'other nodes know that this target process leaves')
+      target.inherit(withdrawal)
+    }
+    const announcement = target.current()?.announcement
+    if (announcement !== undefined && isLeavingSincePredecessor(announcement)) availability.targetLeft()
+  }
+
   return {
     withdraw,
+    inherit,
     processEnded: (process) => { if (target.markEnded(process)) watch.ended() },
     announce: (announcement) => {
       if (target.hasEnded(announcement)) {
@@ -96,6 +114,8 @@
         log.info({ event: 'target', instance, service, state }, 'local target announced a new state')
       }
       availability.setTargetState(state)
+      // The time in which a leaving target still gets calls began before this process started.
+      if (isLeavingSincePredecessor(announcement)) availability.targetLeft()
       watch.announce({ service, capacity, state: availability.stopping() ? 'leaving' : state })
       return true
     },
--- /dev/null
+++ b/packages/node/src/withdrawals/remembered-target.ts
@@ -0,0 +1,84 @@
+import type { Clock, MembersView } from '@orioleslip/core'
+import { withTimeout } from '../idempotency/with-timeout.js'
+import type { Announcement, LocalTarget } from '../target/local-target.js'
+import type { TargetLifecycle } from '../target/target-lifecycle.js'
+import { withdrawalOf } from './withdrawal.js'
+import type { WithdrawalCopies } from './withdrawal-copies.js'
+
+/** Longest wait of an announcement for what other nodes know of its process, in ms; it is applied later then. */
+const HELD_MS = 500
+
+/** Dependencies of `createRememberedTarget`. */
+export type RememberedTargetOptions = {
+  target: Pick<LocalTarget, 'current'>
+  lifecycle: Pick<TargetLifecycle, 'announce' | 'withdraw' | 'inherit'>
+  copies: Pick<WithdrawalCopies, 'copy' | 'read'>
+  members: Pick<MembersView, 'onChange'> & { isConfirmed: () => boolean }
+  clock: Clock
+}
+
+/** The local target, whose withdrawal outlives the process of this node. */
+export type RememberedTarget = {
+  /** Applies an announcement; one that says that the target leaves resolves once other nodes know of it. False if it was not applied. */
+  announce: (announcement: Announcement) => Promise<boolean>
+  /** Marks the instance as leaving; resolves once other nodes know of it, with false when another instance is in effect. */
+  withdraw: (instance: string) => Promise<boolean>
+}
+
+/**
+ * Creates the target. Announcements of a process that is older than this one are held until other nodes have said whether it has withdrawn
+ * from a predecessor.
+ */
+export function createRememberedTarget ({ target, lifecycle, copies, members, clock }: RememberedTargetOptions): RememberedTarget {
+  const startedMs = clock.nowMs()
+  const confirmed = createConfirmation(members)
+  let inherited: Promise<void> | undefined
+  const inherit = (): Promise<void> => {
+    inherited ??= confirmed.reached.then(copies.read).then(lifecycle.inherit)
+    confirmed.check()
+    return inherited
+  }
+
+  /** By its age, the process was started after this one, so that it can't have withdrawn from a predecessor. */
+  const isYounger = (announcement: Announcement): boolean =>
+    announcement.startedMs !== undefined && clock.wallMs() - announcement.startedMs < clock.nowMs() - startedMs
+
+  const announceOlder = async (announcement: Announcement): Promise<boolean> => {
+    const applied = inherit().then(() => ({ accepted: lifecycle.announce(announcement) }))
+    return (await withTimeout(clock, HELD_MS, applied))?.accepted ?? false
+  }
+
+  const announceLeaving = async (announcement: Announcement): Promise<boolean> => {
+    const accepted = lifecycle.announce(announcement)
+    inherit()
+    await copies.copy(withdrawalOf(announcement))
+    return accepted
+  }
+
+  return {
+    announce: async (announcement) => {
+      if (announcement.state === 'leaving') return await announceLeaving(announcement)
+      return isYounger(announcement) ? lifecycle.announce(announcement) : await announceOlder(announcement)
+    },
+    withdraw: async (instance) => {
+      const announced = target.current()?.announcement
+      const startedMs = announced?.instance === instance ? announced.startedMs : undefined
+      const withdrawn = lifecycle.withdraw(instance)
+      await copies.copy({ instance, ageMs: 0, ...(startedMs === undefined ? {} : { startedMs }) })
+      return withdrawn
+    }
+  }
+}
+
+/** Waits until this process is a confirmed member and has the table of members; `check` looks again. */
+function createConfirmation ({ onChange, isConfirmed }: RememberedTargetOptions['members']) {
+  let check = () => {}
+  const reached = new Promise<void>((resolve) => {
+    check = () => { if (isConfirmed()) resolve() }
+    const unsubscribe = onChange(() => {
+      check()
+      if (isConfirmed()) unsubscribe()
+    })
+  })
+  return { reached, check: () => check() }
+}
