--- a/packages/core/src/http/whole-bodies.ts
+++ b/packages/core/src/http/whole-bodies.ts
@@ -39,7 +39,7 @@
     const chunks = createChunkList()
     const end = () => {
       const { buffer, byteOffset, byteLength } = chunks.takeAll()
-      resolve(req.complete ? { kind: 'whole', bytes: Buffer.from(buffer, byteOffset, byteLength) } : { kind: 'cut' })
+      resolve(req.readableEnded ? { kind: 'whole', bytes: Buffer.from(buffer, byteOffset, byteLength) } : { kind: 'cut' })
     }
     const add = (chunk: Buffer) => {
       chunks.push(chunk)
--- a/packages/node/src/calls/request-reader.test.ts
+++ b/packages/node/src/calls/request-reader.test.ts
@@ -1,6 +1,7 @@
 import { once } from 'node:events'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { connect } from 'node:net'
+import { discardRequestBody } from '@orioleslip/core'
 import test, { type ExecutionContext } from 'ava'
 import { startCallerServer } from '../server/caller-server.js'
 import { createRequestReader } from './request-reader.js'
@@ -52,3 +53,48 @@
   })
   t.is(result, 'cut')
 })
+
+const PUT = 'PUT /a HTTP/1.1\r\nhost: x\r\ncontent-length: 5\r\n\r\nhello'
+
+// Guards against a request that runs with an empty body: it arrived whole, but its connection was reset before any of its body was read
+// (review/11).
+test('the body of a request that was destroyed before it was read is not taken for whole', async (t) => {
+  const requests = createRequestHolder()
+  const handle = async (req: IncomingMessage) => { requests.add(req) }
+  const server = await startCallerServer({ host, port: 0 }, handle, handle)
+  const socket = connect(server.port, host)
+  socket.on('error', () => {})
+  socket.write(PUT)
+  const req = await requests.next()
+  while (!req.complete) await new Promise((resolve) => setTimeout(resolve, 10))
+  const closed = once(req, 'close').catch(() => {})
+  socket.resetAndDestroy()
+  await closed
+  t.true(req.destroyed && req.complete)
+  await t.throwsAsync(createRequestReader(req)(), { message: /closed the connection/ })
+  await server.drain()
+})
+
+// Guards against a part of a body that is passed on as a whole one, because the rest was discarded when the request was refused.
+test('a body whose rest is discarded is not taken for whole', async (t) => {
+  const requests = createRequestHolder()
+  const handle = async (req: IncomingMessage) => { requests.add(req) }
+  const server = await startCallerServer({ host, port: 0 }, handle, handle)
+  const socket = connect(server.port, host)
+  socket.write(`${HEAD}5\r\nhello\r\n`)
+  const req = await requests.next()
+  const read = createRequestReader(req)
+  t.is((await read())?.length, 5)
+  discardRequestBody(req)
+  socket.write('5\r\nhello\r\n0\r\n\r\n')
+  await t.throwsAsync(read())
+  socket.destroy()
+  await server.drain()
+})
+
+/** Creates a holder of the next request that a server gets. */
+function createRequestHolder () {
+  let add: (req: IncomingMessage) => void = () => {}
+  const first = new Promise<IncomingMessage>((resolve) => { add = resolve })
+  return { add: (req: IncomingMessage) => add(req), next: () => first }
+}
--- a/packages/node/src/calls/request-reader.ts
+++ b/packages/node/src/calls/request-reader.ts
@@ -12,19 +12,21 @@
 export function createRequestReader (req: IncomingMessage): () => Promise<Uint8Array | undefined> {
   const queue = createByteQueue(() => { if (queue.size() < READ_AHEAD_BYTES / 2) req.resume() })
   const batch = createChunkBatch(queue.push)
+  const onData = (chunk: Buffer) => {
+    batch.add(chunk)
+    if (queue.size() + batch.size() >= READ_AHEAD_BYTES) req.pause()
+  }
   const end = () => {
     batch.flush()
-    if (req.complete) queue.end()
+    // A request that is destroyed may have arrived whole and not been read, and the rest of a refused one is discarded.
+    if (req.readableEnded && req.listeners('data').includes(onData)) queue.end()
     else queue.fail(new Error('the caller closed the connection in the middle of the body'))
   }
   if (req.destroyed) {
     end()
     return queue.read
   }
-  req.on('data', (chunk: Buffer) => {
-    batch.add(chunk)
-    if (queue.size() + batch.size() >= READ_AHEAD_BYTES) req.pause()
-  })
+  req.on('data', onData)
   req.once('end', end)
   req.once('close', end)
   return queue.read
--- a/packages/node/src/server/caller-connections.test.ts
+++ b/packages/node/src/server/caller-connections.test.ts
@@ -125,6 +125,25 @@
   t.deepEqual([started, ends[0]!.unanswered.length, ends[0]!.unread], [['/a'], 1, 1])
 })
 
+/** More than the buffers of a connection hold, in bytes. */
+const UNSENT_BYTES = 32 * 1024 * 1024
+
+// Guards against a request that runs although its connection was reset while the response before it was written: the write that fails ends
+// that response, and Node.js goes on to the next one (review/11).
+test('a request behind a response during which the connection is reset is not handled', async (t) => {
+  const ends: UnansweredEnd[] = []
+  const { socket, started, answerWith } = await startServer(t, { onUnanswered: (end) => ends.push(end) })
+  socket.pause()
+  socket.write(`${get('/a')}PUT /b HTTP/1.1\r\nhost: x\r\ncontent-length: 5\r\n\r\nhello`)
+  await until(t, () => started.length === 1)
+  answerWith('/a', 'x'.repeat(UNSENT_BYTES))
+  await new Promise((resolve) => setTimeout(resolve, SEND_MS))
+  socket.resetAndDestroy()
+  await until(t, () => ends.length === 1)
+  await new Promise((resolve) => setTimeout(resolve, SEND_MS))
+  t.deepEqual([started, ends[0]!.unanswered.map((req) => req.url), ends[0]!.unread], [['/a'], ['/a'], 1])
+})
+
 test('requests on one connection are handled in turn, and each learns for how long it has waited', async (t) => {
   const { socket, started, waited, answer, received } = await startServer(t)
   const body = 'b'.repeat(200_000)
--- a/packages/node/src/server/caller-connections.ts
+++ b/packages/node/src/server/caller-connections.ts
@@ -73,6 +73,8 @@
     connection.open.add(req)
     connection.current = req
     res.once('finish', () => {
+      // The write of a response to a connection that was reset ends as well.
+      if (req.socket.destroyed) return
       connection.open.delete(req)
       connection.byResponse = !res.shouldKeepAlive
     })
@@ -94,6 +96,7 @@
       // At the end of a request Node.js resumes its socket, in the next tick.
       process.nextTick(() => process.nextTick(limitReading, socket, connection))
       res.once('socket', () => {
+        if (socket.destroyed) return
         connection.waiting--
         if (connection.waiting === 0) connection.hasWaitingBody = false
         limitReading(socket, connection)
