--- a/packages/node/src/target/local-target.test.ts
+++ b/packages/node/src/target/local-target.test.ts
@@ -59,6 +59,20 @@
   t.is(target.current()?.announcement.instance, 'i-2')
 })
 
+// Guards against an announcement of another writer that hides those of the target, as it doesn't say when its process started (review/14).
+test('an announcement without a start does not replace one with a start, and is replaced by it', (t) => {
+  const { startedMs, ...unknownStart } = announcement()
+  for (const [first, second, isAccepted] of [
+    [announcement({ sequence: 3 }), { ...unknownStart, sequence: 99 }, false],
+    [{ ...unknownStart, sequence: 99 }, announcement({ sequence: 3, state: 'leaving' }), true]
+  ] as const) {
+    const target = createLocalTarget('127.0.0.1')
+    t.true(target.announce(first))
+    t.is(target.announce(second), isAccepted)
+    t.is(target.current()?.announcement.startedMs, startedMs)
+  }
+})
+
 // Guards against a memory that grows with each withdrawal, and against a target that stays out of service because a clock was wrong.
 test('withdrawals are forgotten after a minute, and the oldest of many at once', async (t) => {
   const { clock, target, startedMs } = await createAged(10_000)
--- a/packages/node/src/target/local-target.ts
+++ b/packages/node/src/target/local-target.ts
@@ -118,5 +118,7 @@
   if (next.startedMs !== undefined && current.startedMs !== undefined && next.startedMs !== current.startedMs) {
     return next.startedMs < current.startedMs
   }
+  // A process that says when it started always does, so that the other one comes from another writer.
+  if (next.instance === current.instance && next.startedMs !== current.startedMs) return next.startedMs === undefined
   return next.instance === current.instance && (next.sequence ?? Infinity) <= (current.sequence ?? -1)
 }
