--- a/packages/node/src/idempotency/with-timeout.ts
+++ b/packages/core/src/time/with-timeout.ts
@@ -1,4 +1,5 @@
-import { createCanceller, type CancelSignal, type Clock } from '@orioleslip/core'
+import { createCanceller, type CancelSignal } from './cancel.js'
+import type { Clock } from './clock.js'
 
 /** Returns the result of a promise, or undefined when it takes longer than `ms` or the signal aborts; the promise is not cancelled. */
 export async function withTimeout<T extends object> (clock: Clock, ms: number, promise: PromiseLike<T>, signal?: CancelSignal):
@@ -14,13 +15,3 @@
     signal?.removeEventListener('abort', stop)
   }
 }
-
-/** Creates an exponential backoff: each call returns the next delay in ms, doubling from `firstMs` to `maxMs`. */
-export function createBackoff (firstMs: number, maxMs: number): () => number {
-  let nextMs = firstMs
-  return () => {
-    const ms = nextMs
-    nextMs = Math.min(maxMs, nextMs * 2)
-    return ms
-  }
-}
--- a/packages/node/src/calls/executor.ts
+++ b/packages/node/src/calls/executor.ts
@@ -1,5 +1,5 @@
 import {
-  createCanceller, HEADERS, notRun, unknownOutcome,
+  createCanceller, HEADERS, notRun, unknownOutcome, withTimeout,
   type CallEnd, type CancelSignal, type Clock, type Permit, type Refusal, type StoredResponse, type TargetGate
 } from '@orioleslip/core'
 import type { RunningCall } from '../crashes/crash-detector.js'
@@ -16,7 +16,6 @@
 import { trackUnsentCall, type UnsentCall } from './unsent-call.js'
 import type { GuardedRun, IdempotencyGuard } from '../idempotency/idempotency-guard.js'
 import { HASHED_BODY_LIMIT_BYTES, requestHashOf } from '../idempotency/request-hash.js'
-import { withTimeout } from '../idempotency/with-timeout.js'
 import { createNoticeReader, type TargetNotices } from '../target/target-notices.js'
 import { processReads, type SocketReads } from '../net/socket-reads.js'
 
--- a/packages/node/src/idempotency/background-commands.ts
+++ b/packages/node/src/idempotency/background-commands.ts
@@ -1,6 +1,6 @@
 import type { ResultAsync } from 'neverthrow'
-import { createCanceller, type Clock, type RegisterError } from '@orioleslip/core'
-import { createBackoff, withTimeout } from './with-timeout.js'
+import { createCanceller, withTimeout, type Clock, type RegisterError } from '@orioleslip/core'
+import { createBackoff } from './backoff.js'
 
 /** Logger of the guard, such as a pino logger. */
 export type GuardLog = { warn: (fields: object, message: string) => void }
--- a/packages/node/src/idempotency/idempotency-guard.ts
+++ b/packages/node/src/idempotency/idempotency-guard.ts
@@ -1,8 +1,12 @@
-import { notRun, unknownOutcome, type CancelSignal, type Clock, type FinishedRun, type KeyClaim, type KeyId, type KeyRegister, type Refusal, type StoredResponse } from '@orioleslip/core'
+import {
+  notRun, unknownOutcome, withTimeout,
+  type CancelSignal, type Clock, type FinishedRun, type KeyClaim, type KeyId, type KeyRegister, type Refusal,
+  type StoredResponse
+} from '@orioleslip/core'
 import { createBackgroundCommands, type GuardLog } from './background-commands.js'
 import { refusalOfFinished } from './refusals.js'
 import { newClaimId } from './token.js'
-import { createBackoff, withTimeout } from './with-timeout.js'
+import { createBackoff } from './backoff.js'
 
 /** A non-repeatable call, as received by its executor. */
 export type GuardedCall = KeyId & {
--- a/packages/node/src/idempotency/lost-call.ts
+++ b/packages/node/src/idempotency/lost-call.ts
@@ -1,9 +1,9 @@
 import {
-  notRun, unknownOutcome, type CancelSignal, type Clock, type KeyId, type KeyRegister, type Refusal, type RefusalCode,
-  type StoredResponse
+  notRun, unknownOutcome, withTimeout,
+  type CancelSignal, type Clock, type KeyId, type KeyRegister, type Refusal, type RefusalCode, type StoredResponse
 } from '@orioleslip/core'
 import { refusalOfFinished } from './refusals.js'
-import { createBackoff, withTimeout } from './with-timeout.js'
+import { createBackoff } from './backoff.js'
 
 /** A call whose connection to the executor was lost after the entry node may have sent the head. */
 export type LostCall = KeyId & {
--- a/packages/node/src/withdrawals/remembered-target.ts
+++ b/packages/node/src/withdrawals/remembered-target.ts
@@ -1,5 +1,4 @@
-import type { Clock, MembersView } from '@orioleslip/core'
-import { withTimeout } from '../idempotency/with-timeout.js'
+import { withTimeout, type Clock, type MembersView } from '@orioleslip/core'
 import type { Announcement, LocalTarget } from '../target/local-target.js'
 import type { TargetLifecycle } from '../target/target-lifecycle.js'
 import { withdrawalOf } from './withdrawal.js'
--- a/packages/node/src/withdrawals/withdrawal-copies.ts
+++ b/packages/node/src/withdrawals/withdrawal-copies.ts
@@ -1,6 +1,5 @@
 import { z } from 'zod'
-import type { Clock, MemberRecord, MembersView } from '@orioleslip/core'
-import { withTimeout } from '../idempotency/with-timeout.js'
+import { withTimeout, type Clock, type MemberRecord, type MembersView } from '@orioleslip/core'
 import type { PeerPool } from '../links/pool.js'
 import { copyHolders } from '../members/copy-holders.js'
 import type { Log } from '../members/self-record.js'
