Bound the wait of a stop for clients that keep idle connections open

Cause: since connections are closed in order, a stop waited up to 3 s for a client that keeps an idle connection open, in the API of an operator and in that of a control process one after the other, which with the 1 s of leaving can outlast a grace time of 6 s.

--- a/packages/core/src/http/close-in-order.test.ts
+++ b/packages/core/src/http/close-in-order.test.ts
@@ -183,3 +183,20 @@
   await stopServer(server, UNREAD_MS)
   t.deepEqual(await replies, ['ok', 'cut'])
 })
+
+/** Time by which a stop that only waits for clients of idle connections has ended, in ms. */
+const STOPPED_MS = 2000
+
+// Guards against a process that outlives its grace time because a client keeps an idle connection open.
+test('a stop does not wait long for clients that keep idle connections open', async (t) => {
+  const { server, port } = await startServer(t, (_req, res) => { res.end('ok') })
+  const socket = connect({ port, host: HOST, allowHalfOpen: true })
+  t.teardown(() => socket.destroy())
+  socket.on('error', () => {})
+  socket.write(REQUEST)
+  await once(socket, 'data')
+  const startMs = performance.now()
+  await stopServer(server, 2 * LINGER_MS)
+  const ms = performance.now() - startMs
+  t.true(ms < STOPPED_MS, `${ms} ms`)
+})
--- a/packages/core/src/http/close-in-order.ts
+++ b/packages/core/src/http/close-in-order.ts
@@ -1,8 +1,9 @@
 import type { Server } from 'node:http'
 import type { Socket } from 'node:net'
 
-/** Longest time for which a closed connection is read on, in ms. */
+/** Longest time for which a closed connection is read on, in ms; a stop waits less for the clients of idle ones. */
 const LINGER_MS = 3000
+const STOP_LINGER_MS = 1000
 /** Number of bytes that are discarded before a pause, and the pause, in ms, so that a client that sends without end costs little. */
 const DISCARD_BURST_BYTES = 1024 * 1024
 const DISCARD_PAUSE_MS = 20
@@ -12,13 +13,12 @@
  * arrives is discarded until the client closes its side, for a limited time. Bytes that arrive at a closed socket reset the connection,
  * and the client would lose what it has not read yet. No request is read from the connection any more.
  */
-export function closeInOrder (socket: Socket, lastBytes?: string): void {
+export function closeInOrder (socket: Socket, { lastBytes = '', lingerMs = LINGER_MS } = {}): void {
   if (socket.destroyed || socket.writableEnded) return
-  if (lastBytes === undefined) socket.end()
-  else socket.end(lastBytes)
+  socket.end(lastBytes)
   socket.setTimeout(0)
   discardInput(socket)
-  const timer = setTimeout(() => socket.destroy(), LINGER_MS)
+  const timer = setTimeout(() => socket.destroy(), lingerMs)
   socket.once('close', () => clearTimeout(timer))
 }
 
@@ -54,7 +54,9 @@
     socket.destroySoon = () => closeInOrder(socket)
   })
   server.on('timeout', (socket) => closeInOrder(socket))
-  server.closeIdleConnections = () => { for (const socket of sockets) if (isIdle(socket)) closeInOrder(socket) }
+  server.closeIdleConnections = () => {
+    for (const socket of sockets) if (isIdle(socket)) closeInOrder(socket, { lingerMs: STOP_LINGER_MS })
+  }
 }
 
 /** Returns a function that tells the connections of a server on which no request is open. */
--- a/packages/node/src/server/malformed-bytes.ts
+++ b/packages/node/src/server/malformed-bytes.ts
@@ -23,5 +23,5 @@
     return
   }
   const status = statusOf(err)
-  closeInOrder(socket, `HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`)
+  closeInOrder(socket, { lastBytes: `HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n` })
 }
