Remove the current request of a connection, which nothing reads any more

Cause: closeInOrder of caller-connections.ts was its only reader, and core/http/close-in-order.ts has taken its place. A value that a fixture of close-in-order.test.ts returned and no test used goes too. No change of behaviour; the tests of both folders and pipelined-requests.test.ts pass.

--- a/packages/core/src/http/close-in-order.test.ts
+++ b/packages/core/src/http/close-in-order.test.ts
@@ -61,7 +61,7 @@
     await closed
     return { receivedBytes, error }
   }
-  return { socket, readAll }
+  return { readAll }
 }
 
 // Guards against an answer that is lost because further requests of its client arrive behind the one that closes the connection.
--- a/packages/node/src/server/caller-connections.ts
+++ b/packages/node/src/server/caller-connections.ts
@@ -28,8 +28,6 @@
 
 type Connection = {
   open: Set<IncomingMessage>
-  /** The request whose response is, or was last, written. */
-  current: IncomingMessage | undefined
   waiting: number
   /** True if the last waiting request has a body, of which nothing is read before its turn. */
   hasWaitingBody: boolean
@@ -52,7 +50,7 @@
     const known = connections.get(socket)
     if (known !== undefined) return known
     const connection: Connection = {
-      open: new Set(), current: undefined, waiting: 0, hasWaitingBody: false, byResponse: false, last: undefined, refuse: undefined
+      open: new Set(), waiting: 0, hasWaitingBody: false, byResponse: false, last: undefined, refuse: undefined
     }
     connections.set(socket, connection)
     socket.once('close', () => {
@@ -71,7 +69,6 @@
 
   const start = (connection: Connection, req: IncomingMessage, res: ServerResponse, handler: () => void): void => {
     connection.open.add(req)
-    connection.current = req
     res.once('finish', () => {
       // The write of a response to a connection that was reset ends as well.
       if (req.socket.destroyed) return
