--- a/packages/node/src/crashes/crash-guard.ts
+++ b/packages/node/src/crashes/crash-guard.ts
@@ -23,7 +23,7 @@
   /** Notes that the target has completed the call. */
   completed: (call: RunningCall, service: string) => void
   isListening: CrashDetector['isListening']
-  /** Takes over what other nodes know, when the target announces itself. */
+  /** Takes over what other nodes know of the service; the target gets no calls before. */
   takeOver: CrashReports['takeOver']
   /** Handles a request of another node; undefined for one of another kind. */
   handleRequest: CrashReports['handle']
@@ -52,7 +52,7 @@
   const { clock, log, host, members, request, probe } = options
   const table = createCrashTable(clock)
   const lane = createSuspectLane()
-  const reports = createCrashReports({ members, request, table, onChange: lane.recheck })
+  const reports = createCrashReports({ clock, log, members, request, table, onChange: lane.recheck })
 
   const detector = createCrashDetector({
     clock,
--- a/packages/node/src/crashes/crash-reports.ts
+++ b/packages/node/src/crashes/crash-reports.ts
@@ -1,76 +1,83 @@
-import { z } from 'zod'
-import type { MemberRecord, MembersView } from '@orioleslip/core'
+import type { Clock, MemberRecord, MembersView } from '@orioleslip/core'
+import { createAskPeer } from '../links/ask-peer.js'
 import type { PeerPool } from '../links/pool.js'
-import { MAX_BLOCKED, MAX_CRASHES, MAX_FINGERPRINTS_PER_CRASH, type Crash, type CrashTable, type CrashTableContent } from './crash-table.js'
+import type { Log } from '../members/self-record.js'
+import { createCrashCopies } from './crash-copies.js'
+import { crashSchema, crashTableSchema, fingerprintSchema, type Crash, type CrashTable, type CrashTableContent } from './crash-table.js'
 
-/** Kinds of requests between nodes about crashes. */
+/** Kinds of requests between nodes of a service about crashes. */
 const CRASH = 'crash'
 const CLEARED = 'crash-cleared'
 const TABLE = 'crash-table'
 
-const uint = z.number().int().min(0)
-const crashSchema = z.strictObject({ processId: uint, fingerprints: z.array(uint).max(MAX_FINGERPRINTS_PER_CRASH) })
-const tableSchema = z.strictObject({
-  crashes: z.array(crashSchema).max(MAX_CRASHES),
-  blocked: z.array(z.strictObject({ fingerprint: uint, leftMs: z.number().min(0) })).max(MAX_BLOCKED)
-})
-
-/** Longest wait until the nodes of the service know of a crash, in ms; a caller may retry the call afterwards. */
-const REPORT_TIMEOUT_MS = 250
-/** Longest wait for the table of another node, in ms. */
-const TABLE_TIMEOUT_MS = 1000
-/** Number of nodes that a node asks for their tables when it starts. */
+/** Longest wait for another node, in ms; a caller may retry a call whose target has ended after the report. */
+const PEER_TIMEOUT_MS = 250
+/** Number of nodes of the service that a node asks for their tables when it starts. */
 const TABLE_SOURCES = 2
 
-/** Sends what this node learns of crashes to the nodes of the same service, and receives it from them. */
+/** Sends what this node learns of crashes to the nodes of the same service and to holders of copies, and receives it from them. */
 export type CrashReports = {
-  /** Resolves when each reachable node of the service knows of the crash. */
+  /** Resolves when each reachable one of these nodes knows of the crash. */
   crashed: (service: string, crash: Crash) => Promise<void>
   cleared: (service: string, fingerprint: number) => void
-  /** Takes over what other nodes of the service know, once. */
-  takeOver: (service: string) => void
+  /** Takes over what other nodes know of the service, once; resolves when that is done, or after a limited time. */
+  takeOver: (service: string) => Promise<void>
   /** Handles a request of another node; undefined for one of another kind. */
   handle: (kind: string, body: unknown) => unknown
 }
 
 /** Dependencies of `createCrashReports`. */
 export type CrashReportsOptions = {
-  members: Pick<MembersView, 'self' | 'ofService'>
+  clock: Clock
+  log: Log
+  members: Pick<MembersView, 'self' | 'all' | 'ofService'>
   request: PeerPool['request']
   table: Pick<CrashTable, 'record' | 'clear' | 'export' | 'merge'>
   /** Called after this node has learnt something from another one. */
   onChange: () => void
 }
 
-/** Creates the reports. Only nodes beside targets of the service need them, as each call passes one of these. */
-export function createCrashReports ({ members, request, table, onChange }: CrashReportsOptions): CrashReports {
-  let hasTakenOver = false
+/** Creates the reports. Only nodes beside targets of the service use them, as each call passes one of these; holders keep copies. */
+export function createCrashReports ({ clock, log, members, request, table, onChange }: CrashReportsOptions): CrashReports {
+  const copies = createCrashCopies({ members, request, clock })
+  const ask = createAskPeer(clock, request, PEER_TIMEOUT_MS)
+  let takenOver: { service: string, done: Promise<void> } | undefined
 
   const peersOf = (service: string): MemberRecord[] => members.ofService(service)
     .filter(({ record, liveness }) => liveness === 'alive' && record.vmId !== members.self().vmId)
     .map(({ record }) => record)
-  const send = ({ host, peerPort }: MemberRecord, kind: string, body: unknown, timeoutMs: number): Promise<unknown> =>
-    request({ host, port: peerPort }, kind, body, timeoutMs).catch(() => undefined)
+  const askPeers = (peers: MemberRecord[], kind: string, body: unknown) => Promise.all(peers.map((peer) => ask(peer, kind, body)))
+
+  const readTables = async (service: string): Promise<CrashTableContent[]> => {
+    const replies = await askPeers(peersOf(service).slice(0, TABLE_SOURCES), TABLE, null)
+    return replies.flatMap((reply) => crashTableSchema.safeParse(reply).data ?? [])
+  }
 
-  const takeOverFrom = async (peer: MemberRecord) => {
-    const content = tableSchema.safeParse(await send(peer, TABLE, null, TABLE_TIMEOUT_MS))
-    if (!content.success) return
-    table.merge(content.data)
+  const takeOver = async (service: string): Promise<void> => {
+    const tables = (await Promise.all([readTables(service), copies.read(service)])).flat()
+    const { crashes, blocked } = mergeAll(tables)
+    if (crashes === 0 && blocked === 0) return
+    log.info({ event: 'crashes-inherited', service, crashes, blocked, tables: tables.length }, 'other nodes know of requests that ended targets of the service')
     onChange()
   }
 
+  const mergeAll = (tables: CrashTableContent[]) => {
+    for (const content of tables) table.merge(content)
+    const { crashes, blocked } = table.export()
+    return { crashes: crashes.length, blocked: blocked.length }
+  }
+
   return {
     crashed: async (service, crash) => {
-      await Promise.all(peersOf(service).map((peer) => send(peer, CRASH, crash, REPORT_TIMEOUT_MS)))
+      await Promise.all([askPeers(peersOf(service), CRASH, crash), copies.crashed(service, crash)])
     },
     cleared: (service, fingerprint) => {
-      for (const peer of peersOf(service)) send(peer, CLEARED, fingerprint, REPORT_TIMEOUT_MS)
+      askPeers(peersOf(service), CLEARED, fingerprint)
+      copies.cleared(service, fingerprint)
     },
     takeOver: (service) => {
-      const peers = peersOf(service)
-      if (hasTakenOver || peers.length === 0) return
-      hasTakenOver = true
-      for (const peer of peers.slice(0, TABLE_SOURCES)) takeOverFrom(peer)
+      if (takenOver?.service !== service) takenOver = { service, done: takeOver(service) }
+      return takenOver.done
     },
     handle: (kind, body) => {
       switch (kind) {
@@ -80,12 +87,12 @@
           break
         }
         case CLEARED: {
-          const fingerprint = uint.safeParse(body)
+          const fingerprint = fingerprintSchema.safeParse(body)
           if (fingerprint.success) table.clear(fingerprint.data)
           break
         }
-        case TABLE: return table.export() satisfies CrashTableContent
-        default: return undefined
+        case TABLE: return table.export()
+        default: return copies.handle(kind, body)
       }
       onChange()
       return true
--- a/packages/node/src/crashes/crash-table.test.ts
+++ b/packages/node/src/crashes/crash-table.test.ts
@@ -76,6 +76,11 @@
   const { crashes, blocked } = table.export()
   t.true(crashes.length <= 256)
   t.is(blocked.length, 1024)
+  for (let processId = 5000; processId < 5100; processId++) {
+    table.record({ processId, fingerprints: Array.from({ length: 512 }, (_, j) => processId * 1e6 + j) })
+  }
+  const suspects = table.export().crashes.flatMap(({ fingerprints }) => fingerprints)
+  t.is(suspects.length, 4096)
 })
 
 // Guards against knowledge that is lost when the node that has it restarts.
--- a/packages/node/src/crashes/crash-table.ts
+++ b/packages/node/src/crashes/crash-table.ts
@@ -1,8 +1,6 @@
+import { z } from 'zod'
 import type { Clock } from '@orioleslip/core'
 
-/** A target process that ended by itself, and the fingerprints of the requests that it was running. */
-export type Crash = { processId: number, fingerprints: readonly number[] }
-
 /** What is known of a request. */
 export type Judgement =
   | { kind: 'clear' }
@@ -11,11 +9,6 @@
   /** Several targets ended while they ran this request; it may not run for `leftMs`. */
   | { kind: 'blocked', leftMs: number }
 
-/** A blocked request, for another node. */
-export type BlockedRequest = { fingerprint: number, leftMs: number }
-/** Content of a table, for a node that has just started. */
-export type CrashTableContent = { crashes: Crash[], blocked: BlockedRequest[] }
-
 /** What the nodes of a service know of requests during which targets ended. */
 export type CrashTable = {
   record: (crash: Crash) => void
@@ -35,9 +28,28 @@
 /** Crashes without which a request is not blocked: one may have another cause, or another request of the same moment. */
 const BLOCKING_CRASHES = 2
 /** Limits on what an attacker with many different requests can make the nodes keep. */
-export const MAX_CRASHES = 256
+const MAX_CRASHES = 256
 export const MAX_FINGERPRINTS_PER_CRASH = 512
-export const MAX_BLOCKED = 1024
+const MAX_SUSPECTS = 4096
+const MAX_BLOCKED = 1024
+
+/** Fingerprint of a request in messages between nodes. */
+export const fingerprintSchema = z.number().int().min(0)
+/** Body of a crash in messages between nodes. */
+export const crashSchema = z.strictObject({
+  processId: z.number().int().min(0),
+  fingerprints: z.array(fingerprintSchema).max(MAX_FINGERPRINTS_PER_CRASH).readonly()
+})
+/** Body of a table in messages between nodes. */
+export const crashTableSchema = z.strictObject({
+  crashes: z.array(crashSchema).max(MAX_CRASHES),
+  blocked: z.array(z.strictObject({ fingerprint: fingerprintSchema, leftMs: z.number().min(0) })).max(MAX_BLOCKED)
+})
+
+/** A target process that ended by itself, and the fingerprints of the requests that it was running. */
+export type Crash = z.infer<typeof crashSchema>
+/** Content of a table, for a node that has just started. */
+export type CrashTableContent = z.infer<typeof crashTableSchema>
 
 type Block = { untilMs: number, forgetMs: number }
 
@@ -63,7 +75,7 @@
   const expireCrashes = () => {
     const nowMs = clock.nowMs()
     for (const [processId, { atMs }] of crashes) {
-      if (nowMs - atMs < SUSPECT_MS && crashes.size <= MAX_CRASHES) break
+      if (nowMs - atMs < SUSPECT_MS && crashes.size <= MAX_CRASHES && suspects.size <= MAX_SUSPECTS) break
       removeCrash(processId)
     }
   }
--- a/packages/node/src/crashes/guarded-target.ts
+++ b/packages/node/src/crashes/guarded-target.ts
@@ -1,7 +1,6 @@
 import type { Clock, MembersView } from '@orioleslip/core'
 import type { PeerPool } from '../links/pool.js'
 import type { Log } from '../members/self-record.js'
-import type { Announcement } from '../target/local-target.js'
 import { createTargetLifecycle, type TargetLifecycle, type TargetLifecycleOptions } from '../target/target-lifecycle.js'
 import { createRememberedTarget, type RememberedTarget } from '../withdrawals/remembered-target.js'
 import { createWithdrawalCopies } from '../withdrawals/withdrawal-copies.js'
@@ -34,14 +33,11 @@
     ...shared, isConfirmed: members.isConfirmed, isListening: crashes.isListening
   })
   const copies = createWithdrawalCopies({ members, request, clock, log })
-  const { announce, withdraw } = createRememberedTarget({ target, lifecycle, copies, members, clock })
+  const { announce, withdraw } = createRememberedTarget({ target, lifecycle, copies, members, clock, takeOver: crashes.takeOver })
   return {
     crashes,
     lifecycle,
-    announce: (announcement: Announcement) => {
-      crashes.takeOver(announcement.service)
-      return announce(announcement)
-    },
+    announce,
     withdraw,
     handleRequest: (kind, body) => crashes.handleRequest(kind, body) ?? copies.handle(kind, body)
   }
--- a/packages/node/src/withdrawals/remembered-target.ts
+++ b/packages/node/src/withdrawals/remembered-target.ts
@@ -4,7 +4,7 @@
 import { withdrawalOf } from './withdrawal.js'
 import type { WithdrawalCopies } from './withdrawal-copies.js'
 
-/** Longest wait of an announcement for what other nodes know of its process, in ms; it is applied later then. */
+/** Longest wait of an announcement for what other nodes know of its process and service, in ms; it is applied later then. */
 const HELD_MS = 500
 
 /** Dependencies of `createRememberedTarget`. */
@@ -12,6 +12,8 @@
   target: Pick<LocalTarget, 'current'>
   lifecycle: Pick<TargetLifecycle, 'announce' | 'withdraw' | 'inherit'>
   copies: Pick<WithdrawalCopies, 'copy' | 'read'>
+  /** Takes over what other nodes know of requests that end targets of the service; resolves after a limited time. */
+  takeOver: (service: string) => Promise<void>
   members: Pick<MembersView, 'onChange'> & { isConfirmed: () => boolean }
   clock: Clock
 }
@@ -25,10 +27,12 @@
 }
 
 /**
- * Creates the target. Announcements of a process that is older than this one are held until other nodes have said whether it has withdrawn
- * from a predecessor.
+ * Creates the target. Announcements are held until this process is a confirmed member, before which it accepts no calls anyway, and has
+ * taken over what other nodes know of the service. Those of a process older than this one are also held until other nodes have said
+ * whether it has withdrawn from a predecessor.
  */
-export function createRememberedTarget ({ target, lifecycle, copies, members, clock }: RememberedTargetOptions): RememberedTarget {
+export function createRememberedTarget (options: RememberedTargetOptions): RememberedTarget {
+  const { target, lifecycle, copies, takeOver, members, clock } = options
   const startedMs = clock.nowMs()
   const confirmed = createConfirmation(members)
   let inherited: Promise<void> | undefined
@@ -42,8 +46,14 @@
   const isYounger = (announcement: Announcement): boolean =>
     announcement.startedMs !== undefined && clock.wallMs() - announcement.startedMs < clock.nowMs() - startedMs
 
-  const announceOlder = async (announcement: Announcement): Promise<boolean> => {
-    const applied = inherit().then(() => ({ accepted: lifecycle.announce(announcement) }))
+  const prepare = async (announcement: Announcement): Promise<void> => {
+    confirmed.check()
+    const known = confirmed.reached.then(() => takeOver(announcement.service))
+    await (isYounger(announcement) ? known : Promise.all([known, inherit()]))
+  }
+
+  const announceHeld = async (announcement: Announcement): Promise<boolean> => {
+    const applied = prepare(announcement).then(() => ({ accepted: lifecycle.announce(announcement) }))
     return (await withTimeout(clock, HELD_MS, applied))?.accepted ?? false
   }
 
@@ -56,8 +66,7 @@
 
   return {
     announce: async (announcement) => {
-      if (announcement.state === 'leaving') return await announceLeaving(announcement)
-      return isYounger(announcement) ? lifecycle.announce(announcement) : await announceOlder(announcement)
+      return await (announcement.state === 'leaving' ? announceLeaving(announcement) : announceHeld(announcement))
     },
     withdraw: async (instance) => {
       const announced = target.current()?.announcement
--- a/packages/node/src/withdrawals/withdrawal-copies.ts
+++ b/packages/node/src/withdrawals/withdrawal-copies.ts
@@ -1,5 +1,6 @@
 import { z } from 'zod'
-import { withTimeout, type Clock, type MemberRecord, type MembersView } from '@orioleslip/core'
+import type { Clock, MembersView } from '@orioleslip/core'
+import { createAskPeer } from '../links/ask-peer.js'
 import type { PeerPool } from '../links/pool.js'
 import { copyHolders } from '../members/copy-holders.js'
 import type { Log } from '../members/self-record.js'
@@ -45,11 +46,7 @@
   const copied = new Map<string, Promise<void>>()
 
   const holders = (count: number) => copyHolders(members.all(), members.self().vmId, count)
-  const ask = async ({ host, peerPort }: MemberRecord, kind: string, body: unknown): Promise<unknown> => {
-    const reply = request({ host, port: peerPort }, kind, body, PEER_TIMEOUT_MS).then((body) => ({ body }), () => ({ body: undefined }))
-    // Also bounds the time in which the connection is opened.
-    return (await withTimeout(clock, PEER_TIMEOUT_MS, reply))?.body
-  }
+  const ask = createAskPeer(clock, request, PEER_TIMEOUT_MS)
 
   const send = async (withdrawal: Withdrawal, key: string): Promise<void> => {
     const chosen = holders(COPIES)
