--- a/packages/node/src/links/link-delay.ts
+++ b/packages/node/src/links/link-delay.ts
@@ -4,6 +4,8 @@
 const MIN_SUSPENSION_MS = 100
 /** Period after which the shortest transfer is looked for anew, in ms: the clocks of two machines drift apart by a few ms in it. */
 const BASE_PERIOD_MS = 10_000
+/** Largest part of a second by which two clocks that are being adjusted drift apart in a second. */
+const MAX_DRIFT = 0.002
 
 /**
  * Creates the clock whose time senders put on their messages, in whole ms. It also counts times in which the machine was suspended, which
@@ -45,7 +47,8 @@
     waitedMs: (sentMs) => {
       const nowMs = clock.nowMs()
       if (nowMs >= periodEndMs) {
-        previousShortestMs = nowMs < periodEndMs + BASE_PERIOD_MS ? shortestMs : Infinity
+        // The first transfer after a pause may be a slow one.
+        previousShortestMs = shortestMs + Math.max(0, nowMs - periodEndMs - BASE_PERIOD_MS) * MAX_DRIFT
         shortestMs = Infinity
         periodEndMs = nowMs + BASE_PERIOD_MS
       }
