--- a/packages/node/src/members/members.ts
+++ b/packages/node/src/members/members.ts
@@ -7,6 +7,7 @@
 import { createCachedView, gossipAddress, randomSample } from './peers.js'
 import { createProber } from './prober.js'
 import { createRunGaps } from './run-gaps.js'
+import { processReads } from '../net/socket-reads.js'
 import type { Address, DatagramSocket } from './socket.js'
 import { createByteBudget, createDissemination } from './dissemination.js'
 import { createStallLog } from './stall-log.js'
@@ -174,6 +175,7 @@
   const runGossip = async () => {
     while (!stopping.signal.aborted) {
       runGaps.ran()
+      processReads.noteTurn()
       gossip()
       if (resumingSinceSeq !== undefined) prober.pingSample(GOSSIP_FANOUT)
       const { failed, forgotten } = table.expire()
--- a/packages/node/src/net/socket-reads.test.ts
+++ b/packages/node/src/net/socket-reads.test.ts
@@ -71,3 +71,45 @@
   t.true(turnOf.filter((each) => each === turnOf[0]).length <= 4)
   t.true(turn < 10)
 })
+
+/** Creates the reads of a process, and a turn that begins after the event loop has run for `busyMs` and slept for `idleMs`. */
+function createLoop () {
+  const clock = createFakeClock()
+  let sleptMs = 0
+  const reads = createSocketReads(clock, () => sleptMs)
+  const turn = async (busyMs: number, idleMs: number) => {
+    await nextTurn()
+    await clock.advance(busyMs + idleMs)
+    sleptMs += idleMs
+    reads.noteTurn()
+  }
+  return { reads, turn }
+}
+
+// Guards against calls that wait for a turn of the event loop on a node with nothing to do, which has left nothing unread.
+test('an event loop that sleeps between turns at short intervals has read all', async (t) => {
+  const { reads, turn } = createLoop()
+  for (let i = 0; i < 10; i++) {
+    await turn(1, 200)
+    t.is(reads.caughtUp(), undefined)
+  }
+})
+
+// Guards against work for clients that have left while the process did not run; its sleep lasts as long then.
+test('a process that stood still while its event loop slept has left sockets unread', async (t) => {
+  const { reads, turn } = createLoop()
+  await turn(1, 200)
+  await turn(1, 700)
+  t.true(reads.unreadMs() >= 700)
+  t.not(reads.caughtUp(), undefined)
+})
+
+// Guards against calls that wait again and again on a node whose turns are long, when it has the least to spare, and against work in turns
+// so long that what arrived two turns ago is late.
+test('calls wait in a busy process only if two of its turns are long', async (t) => {
+  const { reads, turn } = createLoop()
+  for (let i = 0; i < 4; i++) await turn(90, 0)
+  t.is(reads.caughtUp(), undefined)
+  for (let i = 0; i < 4; i++) await turn(140, 10)
+  t.not(reads.caughtUp(), undefined)
+})
