Split the receiving of a call off the executor

Change: they move to call-receiver.ts as they were. No behaviour changes.

The tests of calls/, idempotency/ and server-notices pass.

Conclusion: a refactoring only.

--- a/packages/node/src/calls/executor.ts
+++ b/packages/node/src/calls/executor.ts
@@ -1,6 +1,6 @@
 import {
-  createCanceller, HEADERS, notRun, unknownOutcome, withTimeout,
-  type CallEnd, type CancelSignal, type Clock, type Permit, type Refusal, type StoredResponse, type TargetGate
+  createCanceller, HEADERS, notRun, unknownOutcome,
+  type CallEnd, type CancelSignal, type Permit, type Refusal, type StoredResponse, type TargetGate
 } from '@orioleslip/core'
 import type { RunningCall } from '../crashes/crash-detector.js'
 import { noCrashGuard, type ExecutorCrashes } from '../crashes/no-crash-guard.js'
@@ -10,27 +10,24 @@
 import type { ResponseTransferState, TargetReply } from '../target/target-client.js'
 import { startDeadline, type CallDeadline } from './call-deadline.js'
 import { defaultTargetHeaders } from './default-target-headers.js'
+import { createCallReceiver, noTargetRefusal, type CallReceiverOptions } from './call-receiver.js'
 import type { InboundCall, InboundCalls } from './inbound-calls.js'
 import { forwardResponse, type ResponseEnd } from './forward-response.js'
-import { bodyCut, readUntilAborted, receiveTargetBody } from './target-body.js'
+import { receiveTargetBody } from './target-body.js'
 import { trackUnsentCall, type UnsentCall } from './unsent-call.js'
-import type { GuardedRun, IdempotencyGuard } from '../idempotency/idempotency-guard.js'
-import { HASHED_BODY_LIMIT_BYTES, requestHashOf } from '../idempotency/request-hash.js'
+import type { GuardedRun } from '../idempotency/idempotency-guard.js'
 import { createNoticeReader, type TargetNotices } from '../target/target-notices.js'
 import { processReads, type SocketReads } from '../net/socket-reads.js'
 
-export type ExecutorOptions = {
+/** Dependencies of `createExecutor`. */
+export type ExecutorOptions = CallReceiverOptions & {
   target: LocalTarget
   gate: TargetGate
   inbound: InboundCalls
-  guard: Pick<IdempotencyGuard, 'begin'>
   /** Keeps requests that end targets from ending further ones; by default nothing does. */
   crashes?: ExecutorCrashes
   /** What has been read when a call is sent to the target; its cancel may wait behind it. */
   reads?: Pick<SocketReads, 'caughtUp'>
-  clock: Clock
-  /** Refusal for a new call that this node must not accept; undefined otherwise. */
-  callRefusal: (head: CallHead) => Refusal | undefined
   /** Refusal for an accepted call that has waited and must not be sent to the target any more; undefined otherwise. */
   sendRefusal?: () => Refusal | undefined
   /** Aborts when this node takes back all calls that it has not sent to the target; never by default. */
@@ -71,17 +68,16 @@
 /** Builds the headers of a call to the local target. */
 export type TargetHeaders = (call: IncomingCall, deadline: CallDeadline, self: InboundCall, target: Announcement) => string[]
 
-/** Largest share of its remaining time for which a call waits for the messages that its sender has sent behind it. */
-const LINK_WAIT_SHARE = 0.5
-
 /** Creates the executor, which runs calls at the target on this VM. */
 export function createExecutor (options: ExecutorOptions) {
-  const { target, gate, inbound, guard, clock } = options
+  const { target, gate, inbound, clock } = options
   const { targetHeaders = defaultTargetHeaders, isForeignResponse = () => false } = options
   const { checkResponse = () => ({ kind: 'ran' }), readNotices = createNoticeReader(HEADERS) } = options
   const { sendRefusal = () => undefined, onRefused = () => {}, onSent = () => {}, onNotices = () => {} } = options
   const { onUnframed = () => {}, recalled = createCanceller().signal, reads = processReads } = options
 
+  const receive = createCallReceiver(options)
+
   /** Calls from nodes of earlier versions have no fingerprint by which they could be told apart. */
   const crashGuardOf = ({ fingerprint }: CallHead): GuardedCall =>
     fingerprint === undefined || options.crashes === undefined
@@ -102,51 +98,11 @@
 
   const run = async (call: IncomingCall, deadline: CallDeadline, self: InboundCall, unsent: UnsentCall): Promise<void> => {
     const refuse = (refusal: Refusal) => refuseCall(call, unsent.refusalOf(refusal), reportOf(self))
-    const unavailable = options.callRefusal(call.head) ?? noTargetRefusal(call, target)
-    if (unavailable !== undefined) return refuse(unavailable)
-    if (deadline.remainingMs() <= 0) return refuse(notRun('deadline-exceeded', 'the deadline had passed when the call arrived'))
-    await readCancels(call, deadline, unsent.signal)
-    const prepared = await prepareCall(call, deadline, unsent.signal)
-    switch (prepared.kind) {
-      case 'refused': return refuse(prepared.refusal)
-      case 'replay': return replay(call, prepared.response, reportOf(self))
-      case 'ready': return execute({ call, deadline, self, unsent, bytes: prepared.body, guardedRun: prepared.guardedRun })
-    }
-  }
-
-  /** After a late head, waits for what its sender has sent since: it may have cancelled the call. */
-  const readCancels = async (call: IncomingCall, deadline: CallDeadline, signal: CancelSignal): Promise<void> => {
-    const caughtUp = call.linkCaughtUp()
-    if (caughtUp === undefined) return
-    await withTimeout(clock, deadline.remainingMs() * LINK_WAIT_SHARE, caughtUp.then(() => call), signal)
-  }
-
-  const prepareCall = async (call: IncomingCall, deadline: CallDeadline, signal: CancelSignal): Promise<Prepared> => {
-    const { head } = call
-    if (head.claim === undefined) return { kind: 'ready', body: undefined, guardedRun: undefined }
-    // Checks the level first: a call that the gate refuses after its key was claimed costs the key register two quorum rounds, one for the
-    // claim and one for its release.
-    const { level } = gate.load()
-    if (head.root.priority < Math.floor(level)) {
-      return { kind: 'refused', refusal: notRun('overloaded', `calls of priority ${head.root.priority} are refused below level ${Math.ceil(level)}`, 1) }
-    }
-    call.accept()
-    const bytes = head.bodyBytes === 0 ? new Uint8Array(0) : await readUntilAborted(call, HASHED_BODY_LIMIT_BYTES, signal)
-    if (bytes === 'cut') return { kind: 'refused', refusal: bodyCut() }
-    if (bytes === undefined) return { kind: 'refused', refusal: notRun('body-too-large', `the body exceeds ${HASHED_BODY_LIMIT_BYTES} bytes`) }
-    const decision = await guard.begin({
-      customer: head.root.customer,
-      key: head.claim.key,
-      token: head.claim.token,
-      opKey: head.opKey,
-      requestHash: requestHashOf(head.method, `/${head.service}${head.path}`, bytes),
-      deadlineMs: deadline.deadlineMs,
-      signal
-    })
-    switch (decision.kind) {
-      case 'dispatch': return { kind: 'ready', body: bytes, guardedRun: decision.run }
-      case 'replay': return { kind: 'replay', response: decision.answer }
-      case 'refuse': return { kind: 'refused', refusal: decision.refusal }
+    const received = await receive(call, deadline, unsent.signal)
+    switch (received.kind) {
+      case 'refused': return refuse(received.refusal)
+      case 'replay': return replay(call, received.response, reportOf(self))
+      case 'ready': return execute({ call, deadline, self, unsent, bytes: received.body, guardedRun: received.guardedRun })
     }
   }
 
@@ -294,11 +250,6 @@
   }
 }
 
-type Prepared =
-  | { kind: 'ready', body: Uint8Array | undefined, guardedRun: GuardedRun | undefined }
-  | { kind: 'replay', response: StoredResponse }
-  | { kind: 'refused', refusal: Refusal }
-
 type ReadyCall = {
   call: IncomingCall
   deadline: CallDeadline
@@ -330,13 +281,6 @@
     : `the call had waited for a connection to the target for ${Math.round(latencyMs)} ms, when it was cancelled or its deadline passed`
 }
 
-function noTargetRefusal (call: IncomingCall, target: LocalTarget): Refusal | undefined {
-  const announced = target.current()?.announcement
-  if (announced === undefined) return notRun('no-target', 'no target has announced itself beside this node', 1)
-  if (announced.service !== call.head.service) return notRun('no-target', `the target beside this node serves "${announced.service}"`, 1)
-  return undefined
-}
-
 function replay (call: IncomingCall, response: StoredResponse, report: CallReport): void {
   call.respond({ status: response.status, headers: response.headers })
   call.write(response.body)
