--- a/packages/core/src/http/close-in-order.test.ts
+++ b/packages/core/src/http/close-in-order.test.ts
@@ -41,25 +41,35 @@
   return socket
 }
 
-/** A client that reads nothing at first, and sends requests until it has read the end of the connection. */
-async function startSlowReader (t: ExecutionContext, port: number) {
+/** Opens a connection on which nothing is read before `read` is called. */
+function openClient (t: ExecutionContext, port: number) {
   const socket = connect({ port, host: HOST, allowHalfOpen: true })
   t.teardown(() => socket.destroy())
   let receivedBytes = 0
   let error: string | undefined
   socket.on('error', (err: NodeJS.ErrnoException) => { error = err.code })
-  const closed = socketClosed(socket)
+  return {
+    socket,
+    closed: socketClosed(socket),
+    read: () => { socket.on('data', (chunk: Buffer) => { receivedBytes += chunk.length }) },
+    result: () => ({ receivedBytes, error })
+  }
+}
+
+/** A client that reads nothing at first, and sends requests until it has read the end of the connection. */
+async function startSlowReader (t: ExecutionContext, port: number) {
+  const { socket, closed, read, result } = openClient(t, port)
   await once(socket, 'connect')
   const sending = setInterval(() => socket.write(REQUEST), SEND_MS)
   t.teardown(() => clearInterval(sending))
   const readAll = async () => {
     await sleep(UNREAD_MS)
-    socket.on('data', (chunk: Buffer) => { receivedBytes += chunk.length })
+    read()
     await Promise.race([once(socket, 'end').catch(() => {}), closed])
     clearInterval(sending)
     socket.end()
     await closed
-    return { receivedBytes, error }
+    return result()
   }
   return { readAll }
 }
@@ -92,12 +102,7 @@
     server.keepAliveTimeout = IDLE_MS
     const answered = once(answers, 'written')
     const accepted = connectionOf(server)
-    const socket = connect({ port, host: HOST, allowHalfOpen: true })
-    t.teardown(() => socket.destroy())
-    let receivedBytes = 0
-    let error: string | undefined
-    socket.on('error', (err: NodeJS.ErrnoException) => { error = err.code })
-    const closed = socketClosed(socket)
+    const { socket, closed, read, result } = openClient(t, port)
     socket.write(REQUEST)
     await answered
     close(server)
@@ -106,9 +111,10 @@
     socket.write(REQUEST)
     await sleep(UNREAD_MS)
     socket.write(REQUEST)
-    socket.on('data', (chunk: Buffer) => { receivedBytes += chunk.length })
+    read()
     socket.on('end', () => socket.end())
     await closed
+    const { receivedBytes, error } = result()
     t.is(error, undefined)
     t.true(receivedBytes > ANSWER_BYTES, `${receivedBytes} bytes`)
   })
