--- a/packages/node/src/calls/request-reader.test.ts
+++ b/packages/node/src/calls/request-reader.test.ts
@@ -1,6 +1,7 @@
 import { once } from 'node:events'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { connect } from 'node:net'
+import { setImmediate as nextTurn } from 'node:timers/promises'
 import { discardRequestBody } from '@orioleslip/core'
 import test, { type ExecutionContext } from 'ava'
 import { startCallerServer } from '../server/caller-server.js'
@@ -46,6 +47,43 @@
   t.true(pieces < BODY_BYTES / 100, `${pieces} pieces`)
 })
 
+/** Uploads in small chunks that arrive at the same time, and turns of the event loop in which they are watched, after the first ones. */
+const UPLOADS = 8
+const WATCHED_TURNS = 60
+const FIRST_TURNS = 30
+
+// Guards against other requests that wait for seconds because each turn of the event loop reads all uploads in small chunks.
+test('uploads in chunks of one byte are read in turns', async (t) => {
+  const read: IncomingMessage[] = []
+  const handle = async (req: IncomingMessage) => {
+    read.push(req)
+    const next = createRequestReader(req)
+    while (await next() !== undefined);
+  }
+  const server = await startCallerServer({ host, port: 0 }, (req) => handle(req).catch(() => {}), handle)
+  const clients = Array.from({ length: UPLOADS }, () => connect(server.port, host))
+  for (const client of clients) {
+    const write = () => { while (client.write('1\r\na\r\n'.repeat(10_000))); }
+    client.on('drain', write)
+    client.write(HEAD)
+    write()
+  }
+  const bytesRead = () => read.map(({ socket }) => socket.bytesRead)
+  const readPerTurn: number[] = []
+  for (let turn = 0; turn < FIRST_TURNS + WATCHED_TURNS; turn++) {
+    const before = bytesRead()
+    await nextTurn()
+    const after = bytesRead()
+    if (turn >= FIRST_TURNS) readPerTurn.push(after.filter((bytes, i) => bytes !== before[i]).length)
+  }
+  t.log({ most: Math.max(...readPerTurn), all: readPerTurn.reduce((sum, count) => sum + count, 0) })
+  for (const client of clients) client.destroy()
+  server.abort()
+  await server.drain()
+  t.is(read.length, UPLOADS)
+  t.true(Math.max(...readPerTurn) <= 2)
+})
+
 test('a body that its caller breaks off is not taken for whole', async (t) => {
   const { result } = await readPieces(t, (write, end) => {
     write('5\r\nhello\r\n')
