--- a/packages/node/src/crashes/crash-reports.ts
+++ b/packages/node/src/crashes/crash-reports.ts
@@ -53,20 +53,17 @@
     return replies.flatMap((reply) => crashTableSchema.safeParse(reply).data ?? [])
   }
 
-  const takeOver = async (service: string): Promise<void> => {
+  const inherit = async (service: string): Promise<void> => {
     const tables = (await Promise.all([readTables(service), copies.read(service)])).flat()
-    const { crashes, blocked } = mergeAll(tables)
-    if (crashes === 0 && blocked === 0) return
+    for (const content of tables) table.merge(content)
+    const known = table.export()
+    const crashes = known.crashes.length
+    const blocked = known.blocked.length
+    if (crashes + blocked === 0) return
     log.info({ event: 'crashes-inherited', service, crashes, blocked, tables: tables.length }, 'other nodes know of requests that ended targets of the service')
     onChange()
   }
 
-  const mergeAll = (tables: CrashTableContent[]) => {
-    for (const content of tables) table.merge(content)
-    const { crashes, blocked } = table.export()
-    return { crashes: crashes.length, blocked: blocked.length }
-  }
-
   return {
     crashed: async (service, crash) => {
       await Promise.all([askPeers(peersOf(service), CRASH, crash), copies.crashed(service, crash)])
@@ -76,7 +73,7 @@
       copies.cleared(service, fingerprint)
     },
     takeOver: (service) => {
-      if (takenOver?.service !== service) takenOver = { service, done: takeOver(service) }
+      if (takenOver?.service !== service) takenOver = { service, done: inherit(service) }
       return takenOver.done
     },
     handle: (kind, body) => {
