--- a/packages/node/src/crashes/crash-copies.test.ts
+++ b/packages/node/src/crashes/crash-copies.test.ts
@@ -1,30 +1,14 @@
 import test from 'ava'
-import { createFakeClock, type Member } from '@orioleslip/core'
+import { createFakeClock } from '@orioleslip/core'
+import { nodeMember } from '../testing/node-member.js'
 import { createCrashCopies, type CrashCopies } from './crash-copies.js'
 
 const CRASH = { processId: 1, fingerprints: [7] }
 
-const memberOf = (vmId: string, service: string): Member => ({
-  liveness: 'alive',
-  record: {
-    vmId,
-    incarnation: 1,
-    version: 1,
-    role: 'node',
-    host: vmId,
-    peerPort: 1,
-    callerPort: 1,
-    gossipPort: 1,
-    region: 'r',
-    failureDomain: 'd',
-    target: { service, capacity: 10, state: 'ready' }
-  }
-})
-
 /** Creates ten nodes of two services each; a node that is down never replies. */
 function createFleet () {
   const clock = createFakeClock()
-  const members = ['shop', 'other'].flatMap((service) => Array.from({ length: 10 }, (_, i) => memberOf(`${service}-${i}`, service)))
+  const members = ['shop', 'other'].flatMap((service) => Array.from({ length: 10 }, (_, i) => nodeMember(`${service}-${i}`, service)))
   const down = new Set<string>()
   const asked: string[] = []
   const nodes = new Map<string, CrashCopies>()
--- a/packages/node/src/crashes/crash-guard.test.ts
+++ b/packages/node/src/crashes/crash-guard.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava'
-import { createCanceller, createFakeClock, type Member, type TargetState } from '@orioleslip/core'
+import { createCanceller, createFakeClock, type TargetState } from '@orioleslip/core'
 import type { Announcement } from '../target/local-target.js'
+import { nodeMember } from '../testing/node-member.js'
 import { createCrashGuard, type CrashAdmission, type CrashGuard } from './crash-guard.js'
 
 const POISON = 1
@@ -15,22 +16,7 @@
   const clock = createFakeClock()
   const states = new Map<string, TargetState>(hosts.map((host) => [host, 'ready']))
   const guards = new Map<string, CrashGuard>()
-  const memberOf = (host: string): Member => ({
-    liveness: 'alive',
-    record: {
-      vmId: host,
-      incarnation: 1,
-      version: 1,
-      role: 'node',
-      host,
-      peerPort: 1,
-      callerPort: 1,
-      gossipPort: 1,
-      region: 'r',
-      failureDomain: 'd',
-      target: { service: others.includes(host) ? 'other' : 'shop', capacity: 10, state: states.get(host) ?? 'gone' }
-    }
-  })
+  const memberOf = (host: string) => nodeMember(host, others.includes(host) ? 'other' : 'shop', states.get(host) ?? 'gone')
   const startGuard = (host: string) => {
     const guard = createCrashGuard({
       clock,
--- a/packages/node/src/withdrawals/withdrawal-copies.test.ts
+++ b/packages/node/src/withdrawals/withdrawal-copies.test.ts
@@ -1,29 +1,13 @@
 import test from 'ava'
-import { createFakeClock, type Member } from '@orioleslip/core'
+import { createFakeClock } from '@orioleslip/core'
+import { nodeMember } from '../testing/node-member.js'
 import { createWithdrawalCopies, type WithdrawalCopies } from './withdrawal-copies.js'
 import { createWithdrawalStore } from './withdrawal-store.js'
 
-const memberOf = (vmId: string, service: string): Member => ({
-  liveness: 'alive',
-  record: {
-    vmId,
-    incarnation: 1,
-    version: 1,
-    role: 'node',
-    host: vmId,
-    peerPort: 1,
-    callerPort: 1,
-    gossipPort: 1,
-    region: 'r',
-    failureDomain: 'd',
-    target: { service, capacity: 10, state: 'ready' }
-  }
-})
-
 /** Creates the nodes of four services of six nodes each; a node that is down never replies. */
 function createFleet () {
   const clock = createFakeClock()
-  const members = ['a', 'b', 'c', 'd'].flatMap((service) => Array.from({ length: 6 }, (_, i) => memberOf(`${service}-${i}`, service)))
+  const members = ['a', 'b', 'c', 'd'].flatMap((service) => Array.from({ length: 6 }, (_, i) => nodeMember(`${service}-${i}`, service)))
   const down = new Set<string>()
   const nodes = new Map<string, WithdrawalCopies>()
   let requests = 0
