Write the choice of holders, and the withdrawal of an instance, once

Cause: reading the whole change again. crash-copies.ts took this node off the list of members before it chose the holders of copies, beside a choice that leaves out a VM by its id; the withdrawal of an instance was put together in three places; the confirmation of remembered-target.ts was a promise and a look of its own, always used together; createRequestReader had a parameter that nobody passes.

Change: copyHolders() leaves out this node for both kinds of copies. For withdrawals this is the VM of the key, as before; for crashes a VM whose id is the name of the service is no longer left out. withdrawalOf() serves local-target.ts and remembered-target.ts. createConfirmation() returns one function. The parameter is gone. No test was changed.

Conclusion: a refactoring; behaviour is the same but for a VM that bears the name of a service.

--- a/packages/node/src/calls/request-reader.ts
+++ b/packages/node/src/calls/request-reader.ts
@@ -13,7 +13,7 @@
  * Node.js hands out each chunk for itself, and a body may consist of very small ones, so that those of one turn are joined, and bodies of
  * such chunks are read in turns.
  */
-export function createRequestReader (req: IncomingMessage, turns = processReadTurns): () => Promise<Uint8Array | undefined> {
+export function createRequestReader (req: IncomingMessage): () => Promise<Uint8Array | undefined> {
   const { socket } = req
   const queue = createByteQueue(() => { if (queue.size() < READ_AHEAD_BYTES / 2) req.resume() })
   let chunks = 0
@@ -21,7 +21,7 @@
     // The connection may have further requests then, or be closing.
     if (req.complete || socket.writableEnded) return
     socket.pause()
-    turns.wait(() => { if (!socket.writableEnded) socket.resume() })
+    processReadTurns.wait(() => { if (!socket.writableEnded) socket.resume() })
   }
   // Runs once all that was read in a turn has been handed out; before, Node.js resumes the socket with each chunk.
   const batch = createChunkBatch((joined) => {
--- a/packages/node/src/crashes/crash-copies.ts
+++ b/packages/node/src/crashes/crash-copies.ts
@@ -45,11 +45,8 @@
   /** By service, the last changed one last. */
   const tables = new Map<string, CrashTable>()
   const ask = createAskPeer(clock, request, PEER_TIMEOUT_MS)
-  const askHolders = async (service: string, count: number, kind: string, body: unknown): Promise<unknown[]> => {
-    // Until its target is announced, this node does not count as one of the service.
-    const others = members.all().filter(({ record }) => record.vmId !== members.self().vmId)
-    return await Promise.all(copyHolders(others, service, count).map((holder) => ask(holder, kind, body)))
-  }
+  const askHolders = (service: string, count: number, kind: string, body: unknown): Promise<unknown[]> =>
+    Promise.all(copyHolders(members, service, count).map((holder) => ask(holder, kind, body)))
 
   const record = (service: string, crash: Crash) => {
     const table = tables.get(service) ?? createCrashTable(clock)
--- a/packages/node/src/target/local-target.ts
+++ b/packages/node/src/target/local-target.ts
@@ -2,7 +2,7 @@
 import { fnv1a, systemClock, type PeerAddress } from '@orioleslip/core'
 import { createTargetClient, type TargetClient, type TargetClientOptions } from './target-client.js'
 import { createWithdrawals } from '../withdrawals/withdrawals.js'
-import type { Withdrawal } from '../withdrawals/withdrawal.js'
+import { withdrawalOf, type Withdrawal } from '../withdrawals/withdrawal.js'
 
 /** Body of a target's announcement, `PUT /.well-known/orioleslip/target`. */
 export const announcementSchema = z.strictObject({
@@ -82,8 +82,7 @@
     },
     withdraw: (instance) => {
       const announced = active?.announcement.instance === instance ? active : undefined
-      const startedMs = announced?.announcement.startedMs
-      withdrawals.add({ instance, ageMs: 0, ...(startedMs === undefined ? {} : { startedMs }) })
+      withdrawals.add(withdrawalOf({ instance, startedMs: announced?.announcement.startedMs }))
       if (announced === undefined) return false
       announced.announcement = { ...announced.announcement, state: 'leaving', sequence: WITHDRAWN_SEQUENCE }
       return true
--- a/packages/node/src/withdrawals/remembered-target.ts
+++ b/packages/node/src/withdrawals/remembered-target.ts
@@ -37,8 +37,8 @@
   const confirmed = createConfirmation(members)
   let inherited: Promise<void> | undefined
   const inherit = (): Promise<void> => {
-    inherited ??= confirmed.reached.then(copies.read).then(lifecycle.inherit)
-    confirmed.check()
+    const reached = confirmed()
+    inherited ??= reached.then(copies.read).then(lifecycle.inherit)
     return inherited
   }
 
@@ -47,8 +47,7 @@
     announcement.startedMs !== undefined && clock.wallMs() - announcement.startedMs < clock.nowMs() - startedMs
 
   const prepare = async (announcement: Announcement): Promise<void> => {
-    confirmed.check()
-    const known = confirmed.reached.then(() => takeOver(announcement.service))
+    const known = confirmed().then(() => takeOver(announcement.service))
     await (isYounger(announcement) ? known : Promise.all([known, inherit()]))
   }
 
@@ -65,21 +64,19 @@
   }
 
   return {
-    announce: async (announcement) => {
-      return await (announcement.state === 'leaving' ? announceLeaving(announcement) : announceHeld(announcement))
-    },
+    announce: (announcement) => announcement.state === 'leaving' ? announceLeaving(announcement) : announceHeld(announcement),
     withdraw: async (instance) => {
       const announced = target.current()?.announcement
       const startedMs = announced?.instance === instance ? announced.startedMs : undefined
       const withdrawn = lifecycle.withdraw(instance)
-      await copies.copy({ instance, ageMs: 0, ...(startedMs === undefined ? {} : { startedMs }) })
+      await copies.copy(withdrawalOf({ instance, startedMs }))
       return withdrawn
     }
   }
 }
 
-/** Waits until this process is a confirmed member and has the table of members; `check` looks again. */
-function createConfirmation ({ onChange, isConfirmed }: RememberedTargetOptions['members']) {
+/** Returns a function that looks whether this process is a confirmed member with the table of members, and resolves once it has been. */
+function createConfirmation ({ onChange, isConfirmed }: RememberedTargetOptions['members']): () => Promise<void> {
   let check = () => {}
   const reached = new Promise<void>((resolve) => {
     check = () => { if (isConfirmed()) resolve() }
@@ -88,5 +85,8 @@
       if (isConfirmed()) unsubscribe()
     })
   })
-  return { reached, check: () => check() }
+  return () => {
+    check()
+    return reached
+  }
 }
--- a/packages/node/src/withdrawals/withdrawal-copies.ts
+++ b/packages/node/src/withdrawals/withdrawal-copies.ts
@@ -45,7 +45,7 @@
   const store = createWithdrawalStore(clock)
   const copied = new Map<string, Promise<void>>()
 
-  const holders = (count: number) => copyHolders(members.all(), members.self().vmId, count)
+  const holders = (count: number) => copyHolders(members, members.self().vmId, count)
   const ask = createAskPeer(clock, request, PEER_TIMEOUT_MS)
 
   const send = async (withdrawal: Withdrawal, key: string): Promise<void> => {
--- a/packages/node/src/withdrawals/withdrawal.ts
+++ b/packages/node/src/withdrawals/withdrawal.ts
@@ -1,5 +1,4 @@
 import { z } from 'zod'
-import type { Announcement } from '../target/local-target.js'
 
 /** Body of a withdrawal in messages between nodes. */
 export const withdrawalSchema = z.strictObject({
@@ -18,8 +17,10 @@
 /** Time for which a withdrawal is remembered, in ms: announcements may arrive seconds late, and the process ends some seconds after it. */
 export const WITHDRAWAL_MEMORY_MS = 60_000
 
-/** The withdrawal that an announcement with state `leaving` amounts to. */
-export function withdrawalOf ({ instance, startedMs, sequence }: Announcement): Withdrawal {
+type Sent = { startedMs?: number | undefined, sequence?: number | undefined }
+
+/** The withdrawal of an instance now; that of an announcement with state `leaving` has its sequence. */
+export function withdrawalOf ({ instance, startedMs, sequence }: Sent & { instance: string }): Withdrawal {
   return {
     instance,
     ageMs: 0,
@@ -28,8 +29,6 @@
   }
 }
 
-type Sent = { startedMs?: number | undefined, sequence?: number | undefined }
-
 /** True if the first of two withdrawals of an instance says all that the second one does. */
 export function covers (first: Sent, second: Sent): boolean {
   if (first.startedMs === undefined || second.startedMs === undefined) return false
