--- a/packages/node/src/calls/executor.test.ts
+++ b/packages/node/src/calls/executor.test.ts
@@ -145,6 +145,34 @@
   t.regex(refused[0]!.refusal.detail, /no response after 397 ms/)
 })
 
+// Guards against a request without a response of which the log does not show whether its target was silent as a whole or only to it.
+test('a call cancelled while it runs is reported with the responses of its target to other calls', async (t) => {
+  const body = { read: () => Promise.resolve(undefined), takeRest: () => new Uint8Array(0) }
+  const { clock, refused, executor } = createFixture({
+    slots: 3,
+    run: ({ path, signal }) => new Promise((resolve) => {
+      if (path === '/answered') resolve(headReply({ body }))
+      else signal.addEventListener('abort', () => resolve({ kind: 'failed', sent: true, message: 'the call was cancelled' }))
+    })
+  })
+  const run = (path: string) => {
+    const call = createIncomingCall(createHead({ path }), () => {}, () => {})
+    executor.execute(call)
+    return call
+  }
+  const first = run('/lost')
+  await clock.advance(100)
+  run('/answered')
+  await clock.advance(200)
+  const second = run('/lost')
+  await clock.advance(50)
+  for (const call of [first, second]) call.lost('the caller disconnected')
+  await clock.advance(0)
+  t.deepEqual(refused.map(({ refusal }) => refusal.detail.split('; ')[1]), [
+    'it had responded to 1 others since, the last 250 ms before', 'it had responded to no other call since'
+  ])
+})
+
 /** Starts a call that takes the only slot and one that waits for it; `release` ends the first and resolves when both have ended. */
 async function queueBehindRunningCall (sendRefusal: ExecutorOptions['sendRefusal'] = () => undefined) {
   const ran: string[] = []
--- a/packages/node/src/calls/executor.ts
+++ b/packages/node/src/calls/executor.ts
@@ -13,6 +13,7 @@
 import { createCallReceiver, noTargetRefusal, type CallReceiverOptions } from './call-receiver.js'
 import type { InboundCall, InboundCalls } from './inbound-calls.js'
 import { forwardResponse, type ResponseEnd } from './forward-response.js'
+import { createResponseCount } from './response-count.js'
 import { receiveTargetBody } from './target-body.js'
 import { trackUnsentCall, type UnsentCall } from './unsent-call.js'
 import type { GuardedRun } from '../idempotency/idempotency-guard.js'
@@ -77,6 +78,7 @@
   const { onUnframed = () => {}, recalled = createCanceller().signal, reads = processReads } = options
 
   const receive = createCallReceiver(options)
+  const responses = createResponseCount(clock)
 
   /** Calls from nodes of earlier versions have no fingerprint by which they could be told apart. */
   const crashGuardOf = ({ fingerprint }: CallHead): GuardedCall =>
@@ -168,6 +170,7 @@
     const running = crashes.started(fingerprint, current.announcement)
     const startedMs = clock.nowMs()
     const latencyMs = () => clock.nowMs() - startedMs
+    const others = responses.countOthers()
     onSent(call, { linkMs: call.waitedMs, heldMs: startedMs - self.openedMs })
     const reply = await current.client.run({
       method: head.method,
@@ -178,13 +181,14 @@
       remainingMs: deadline.remainingMs,
       isForeign: (headers) => isForeignResponse(call, headers)
     })
+    if (reply.kind !== 'failed') responses.add()
     if (reply.kind === 'foreign') {
       running.ended()
       permit.release({ kind: 'failed', latencyMs: latencyMs() })
       const refusal = unknownOutcome('bad-answer', 'the target sent the response to another request')
       return refuseCall(call, refusal, { ...reportOf(self), reachedTarget: true })
     }
-    if (reply.kind === 'failed') return await finishFailed({ call, deadline, self, permit, guardedRun, latencyMs, reply, running })
+    if (reply.kind === 'failed') return await finishFailed({ call, deadline, self, permit, guardedRun, latencyMs, others, reply, running })
     const check = checkResponse(reply)
     if (check.kind !== 'misdirected') applyNotices(current.announcement, readNotices(reply.headers))
     if (check.kind !== 'ran') {
@@ -210,7 +214,8 @@
     return false
   }
 
-  const finishFailed = async ({ call, deadline, self, permit, guardedRun, latencyMs, reply, running }: FailedCall): Promise<void> => {
+  const finishFailed = async (failed: FailedCall): Promise<void> => {
+    const { call, deadline, self, permit, guardedRun, latencyMs, others, reply, running } = failed
     const isCancelled = deadline.signal.aborted || (!reply.sent && deadline.remainingMs() <= 0)
     permit.release({ kind: isCancelled ? 'cancelled' : 'failed', latencyMs: latencyMs() })
     if (!reply.sent) releaseClaim(guardedRun)
@@ -219,7 +224,7 @@
     running.ended()
     const code = isCancelled ? 'deadline-exceeded' : 'target-lost'
     const failure = hasCrashed ? 'the target process ended while it ran the call' : reply.message
-    const detail = isCancelled ? cancelDetail(reply.sent, latencyMs()) : failure
+    const detail = isCancelled ? cancelDetail(reply.sent, latencyMs(), others) : failure
     const refusal = reply.sent ? unknownOutcome(code, detail) : notRun(code, detail, 1)
     refuseCall(call, refusal, { ...reportOf(self), reachedTarget: reply.sent })
   }
@@ -266,6 +271,8 @@
 type FailedCall = Omit<ReadyCall, 'bytes' | 'unsent'> & {
   permit: Permit
   latencyMs: () => number
+  /** Says how many other calls the target has responded to meanwhile. */
+  others: () => string
   reply: Extract<TargetReply, { kind: 'failed' }>
   running: RunningCall
 }
@@ -275,9 +282,9 @@
   guardedRun?.notSent().catch(() => undefined)
 }
 
-function cancelDetail (isSent: boolean, latencyMs: number): string {
+function cancelDetail (isSent: boolean, latencyMs: number, others: () => string): string {
   return isSent
-    ? `the target had sent no response after ${Math.round(latencyMs)} ms, when the call was cancelled`
+    ? `the target had sent no response after ${Math.round(latencyMs)} ms, when the call was cancelled; ${others()}`
     : `the call had waited for a connection to the target for ${Math.round(latencyMs)} ms, when it was cancelled or its deadline passed`
 }
 
--- a/packages/node/src/routes/routed-node.ts
+++ b/packages/node/src/routes/routed-node.ts
@@ -19,6 +19,7 @@
 import { createPeerPool } from '../links/pool.js'
 import { createTargetWatch } from '../members/target-watch.js'
 import { joinMembership } from '../membership.js'
+import { processReads } from '../net/socket-reads.js'
 import type { RunningNode } from '../node.js'
 import { createRouter } from '../routing/router.js'
 import { startCallerServer } from '../server/caller-server.js'
@@ -185,6 +186,7 @@
     announceLeaving: watch.leave,
     recordsWritten: () => Promise.resolve(),
     requestsEnded: server.drain,
+    signalDelayMs: processReads.unreadMs,
     drainTimeoutS: cfg.drainTimeoutS,
     clock,
     log,
--- a/packages/node/src/server/planned-stop.ts
+++ b/packages/node/src/server/planned-stop.ts
@@ -13,6 +13,8 @@
   recordsWritten: () => Promise<void>
   /** Stops accepting callers; resolves when their open requests have ended. */
   requestsEnded: () => Promise<void>
+  /** Longest time for which the signal to stop can have waited until this process handled it, in ms. */
+  signalDelayMs: () => number
   /** Longest wait for calls in flight after the leave has been disseminated, in seconds. */
   drainTimeoutS: number
   clock: Clock
@@ -39,7 +41,7 @@
 export function createPlannedStop (options: PlannedStopOptions): () => Promise<void> {
   const { availability, members, openWork, drainTimeoutS, clock, log } = options
   return async () => {
-    log.info({ event: 'drain', drainTimeoutS }, 'planned stop: the target is announced as leaving')
+    log.info({ event: 'drain', drainTimeoutS, signalDelayMs: Math.round(options.signalDelayMs()) }, 'planned stop: the target is announced as leaving')
     availability.stop()
     options.announceLeaving()
     await clock.sleep(LEAVE_DISSEMINATION_MS)
