--- a/packages/node/src/calls/attempt-result.test.ts
+++ b/packages/node/src/calls/attempt-result.test.ts
@@ -20,8 +20,14 @@
 })
 
 test('a request whose response was cut off before its first byte has an unknown outcome', (t) => {
-  const expired = { expired: () => true }
+  const expired = { expired: () => true, drained: () => false }
   t.like(refusalOfCut({ kind: 'cancelled' }, expired), { code: 'deadline-exceeded', outcome: 'unknown' })
   t.like(refusalOfCut({ kind: 'lost', message: 'gone' }, expired), { code: 'target-lost', outcome: 'unknown' })
   t.like(refusalOfCut({ kind: 'aborted', refusal: notRun('bad-answer', 'cut'), report: NO_REPORT }, expired), { code: 'bad-answer', outcome: 'unknown' })
 })
+
+// Guards against a request that is open when its node stops and is told that its caller has left, or that it has not run.
+test('a request that the stop of its node ends has an unknown outcome', (t) => {
+  const refusal = refusalOfCut({ kind: 'cancelled' }, { expired: () => false, drained: () => true })
+  t.deepEqual(refusal, unknownOutcome('target-lost', 'this node stopped before the target had responded'))
+})
--- a/packages/node/src/calls/attempt-result.ts
+++ b/packages/node/src/calls/attempt-result.ts
@@ -55,7 +55,7 @@
 }
 
 /** Returns the refusal of a request of whose response the caller has received nothing before it was cut off; the call has run. */
-export function refusalOfCut (finish: Exclude<CallFinish, { kind: 'complete' }>, deadline: Pick<CallDeadline, 'expired'>): Refusal {
+export function refusalOfCut (finish: Exclude<CallFinish, { kind: 'complete' }>, deadline: CallEnding): Refusal {
   switch (finish.kind) {
     case 'aborted': return unknownOutcome(finish.refusal.code, finish.refusal.detail)
     case 'lost': return unknownOutcome('target-lost', finish.message)
@@ -79,8 +79,12 @@
   }
 }
 
-/** Returns the refusal of a call that its caller or its deadline ended after it had been sent. */
-export function cancelledRefusal ({ deadline }: { deadline: Pick<CallDeadline, 'expired'> }): Refusal {
+/** What tells why a call was cancelled. */
+type CallEnding = Pick<CallDeadline, 'expired' | 'drained'>
+
+/** Returns the refusal of a call that its caller, its deadline or the stop of this node ended after it had been sent. */
+export function cancelledRefusal ({ deadline }: { deadline: CallEnding }): Refusal {
+  if (deadline.drained()) return unknownOutcome('target-lost', 'this node stopped before the target had responded')
   return deadline.expired()
     ? unknownOutcome('deadline-exceeded', 'the deadline passed after the call was sent to a target')
     : unknownOutcome('target-lost', 'the caller disconnected after the call was sent to a target')
--- a/packages/node/src/calls/call-handler.ts
+++ b/packages/node/src/calls/call-handler.ts
@@ -31,6 +31,8 @@
   entryRefusal: () => Refusal | undefined
   /** Aborts when requests that have not been sent to a target are refused. */
   recalled: CancelSignal
+  /** Aborts when requests without a response get one of unknown outcome. */
+  drainEnded: CancelSignal
   admission: EntryAdmission
   quotas: Quotas
   ledger: RetryLedger
@@ -125,11 +127,12 @@
     return notRun('rate-exceeded', `customer "${customer}" is over ${plan.ratePerSecond} requests per second`, verdict.retryAfterS)
   }
 
-  const deadlineOf = (parsed: ParsedRequest, admitted: Admitted, waitedMs: number): CallDeadline => {
+  const deadlineOf = (res: ServerResponse, parsed: ParsedRequest, admitted: Admitted, waitedMs: number): CallDeadline => {
+    const drain = { ended: options.drainEnded, hasResponse: () => res.headersSent }
     const wanted = (parsed.timeoutMs ?? admitted.op?.timeoutMs ?? UNLISTED_TIMEOUT_MS) - waitedMs
-    if (admitted.origin.kind === 'entry') return startDeadline(wanted, clock.nowMs)
+    if (admitted.origin.kind === 'entry') return startDeadline(wanted, clock.nowMs, { drain })
     const { parent } = admitted.origin
-    return startDeadline(Math.min(wanted, parent.deadlineMs - clock.nowMs()), clock.nowMs, parent.signal)
+    return startDeadline(Math.min(wanted, parent.deadlineMs - clock.nowMs()), clock.nowMs, { parent: parent.signal, drain })
   }
 
   const serve = async (
@@ -269,7 +272,7 @@
       return writeRefusal(req, res, decided.error.refusal, requestId)
     }
     const admitted = decided.value
-    const deadline = deadlineOf(parsed.value, admitted, waitedMs)
+    const deadline = deadlineOf(res, parsed.value, admitted, waitedMs)
     cancelWhenCallerLeaves(req, res, deadline)
     const { origin } = admitted
     const { root, kind } = origin
--- a/packages/node/src/calls/executor.test.ts
+++ b/packages/node/src/calls/executor.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { createFakeClock, notRun, unknownOutcome, type Refusal } from '@orioleslip/core'
+import { createCanceller, createFakeClock, notRun, unknownOutcome, type Refusal } from '@orioleslip/core'
 import { createTargetGate } from '../admission/target-gate.js'
 import { createIncomingCall } from '../links/incoming-call.js'
 import type { CallHead, CallReport, StreamMessage } from '../links/messages.js'
@@ -47,7 +47,7 @@
 
 /** Creates an executor with a fake clock and a target whose client is `run`. */
 function createFixture (
-  { run, slots = 1, callRefusal, sendRefusal, checkResponse, crashes }: Pick<ExecutorOptions, 'sendRefusal' | 'checkResponse' | 'crashes'> & {
+  { run, slots = 1, callRefusal, ...options }: Pick<ExecutorOptions, 'sendRefusal' | 'drainEnded' | 'checkResponse' | 'crashes'> & {
     run: TargetClient['run'], slots?: number, callRefusal?: Refusal | undefined
   }
 ) {
@@ -67,11 +67,9 @@
     guard: { begin: () => Promise.reject(new Error('no call of this test has a key')) },
     reads: { caughtUp: () => undefined },
     callRefusal: () => callRefusal,
-    ...(sendRefusal === undefined ? {} : { sendRefusal }),
     readNotices: createNoticeReader({ rateLimit: 'x-limit', leaving: 'x-leaving' }),
     onNotices: (_sender, { leaving }) => { leavingNotices += leaving ? 1 : 0 },
-    ...(checkResponse === undefined ? {} : { checkResponse }),
-    ...(crashes === undefined ? {} : { crashes }),
+    ...options,
     onRefused: (call, refusal, report) => refused.push({ requestId: call.head.root.requestId, refusal, report })
   })
   const announce = (instance: string, service = 'shop') => { announcement = { service, instance } }
@@ -173,6 +171,26 @@
   ])
 })
 
+// Guards against a call that is lost with its node at the end of a drain, and a caller that does not learn that it may send it elsewhere.
+test('a call without a response at the end of the drain is refused as of unknown outcome, one with a response is left alone', async (t) => {
+  const drain = createCanceller()
+  const body = { read: () => new Promise<undefined>(() => {}), takeRest: () => undefined }
+  const { clock, refused, executor } = createFixture({
+    slots: 2,
+    drainEnded: drain.signal,
+    run: ({ path, signal }) => new Promise((resolve) => {
+      if (path === '/begun') resolve(headReply({ headers: ['content-length', '1000000'], body }))
+      else signal.addEventListener('abort', () => resolve({ kind: 'failed', sent: true, message: 'the call was cancelled' }))
+    })
+  })
+  const calls = ['/begun', '/lost'].map((path) => createIncomingCall(createHead({ path }), () => {}, () => {}))
+  for (const call of calls) executor.execute(call)
+  await clock.advance(10)
+  drain.abort()
+  await clock.advance(0)
+  t.deepEqual(refused.map(({ refusal, report }) => [refusal.code, refusal.outcome, report.reachedTarget]), [['target-lost', 'unknown', true]])
+})
+
 /** Starts a call that takes the only slot and one that waits for it; `release` ends the first and resolves when both have ended. */
 async function queueBehindRunningCall (sendRefusal: ExecutorOptions['sendRefusal'] = () => undefined) {
   const ran: string[] = []
--- a/packages/node/src/calls/executor.ts
+++ b/packages/node/src/calls/executor.ts
@@ -8,7 +8,7 @@
 import type { CallHead, CallReport } from '../links/messages.js'
 import { isSameProcess, type Announcement, type LocalTarget } from '../target/local-target.js'
 import type { ResponseTransferState, TargetReply } from '../target/target-client.js'
-import { startDeadline, type CallDeadline } from './call-deadline.js'
+import { cancelCode, startDeadline, type CallDeadline } from './call-deadline.js'
 import { defaultTargetHeaders } from './default-target-headers.js'
 import { createCallReceiver, noTargetRefusal, type CallReceiverOptions } from './call-receiver.js'
 import type { InboundCall, InboundCalls } from './inbound-calls.js'
@@ -33,6 +33,8 @@
   sendRefusal?: () => Refusal | undefined
   /** Aborts when this node takes back all calls that it has not sent to the target; never by default. */
   recalled?: CancelSignal
+  /** Aborts when the drain of this node ends, and with it the calls that have no response; never by default. */
+  drainEnded?: CancelSignal
   /** Builds the headers sent to the target; by default those of orioleslip's own HTTP interface. */
   targetHeaders?: TargetHeaders
   /** True for a response whose headers show that it belongs to another call; its connection is closed and not used again. */
@@ -69,13 +71,15 @@
 /** Builds the headers of a call to the local target. */
 export type TargetHeaders = (call: IncomingCall, deadline: CallDeadline, self: InboundCall, target: Announcement) => string[]
 
+const { signal: never } = createCanceller()
+
 /** Creates the executor, which runs calls at the target on this VM. */
 export function createExecutor (options: ExecutorOptions) {
   const { target, gate, inbound, clock } = options
   const { targetHeaders = defaultTargetHeaders, isForeignResponse = () => false } = options
   const { checkResponse = () => ({ kind: 'ran' }), readNotices = createNoticeReader(HEADERS) } = options
   const { sendRefusal = () => undefined, onRefused = () => {}, onSent = () => {}, onNotices = () => {} } = options
-  const { onUnframed = () => {}, recalled = createCanceller().signal, reads = processReads } = options
+  const { onUnframed = () => {}, recalled = never, drainEnded = never, reads = processReads } = options
 
   const receive = createCallReceiver(options)
   const responses = createResponseCount(clock)
@@ -198,8 +202,7 @@
       releaseClaim(guardedRun)
       return refuseCall(call, check.refusal, { ...reportOf(self), reachedTarget: true })
     }
-    const { signal } = deadline
-    const end = await forwardResponse({ call, guardedRun, reply, signal, report: () => reportOf(self), refuse: refuseCall })
+    const end = await forwardResponse({ call, guardedRun, reply, deadline, report: () => reportOf(self), refuse: refuseCall })
     if (reply.unframed) onUnframed(call, { ...reply.transfer(), end, latencyMs: latencyMs() })
     if (end === 'complete') crashes.completed(running, head.service)
     else lost(running, deadline)
@@ -222,7 +225,7 @@
     const hasCrashed = reply.sent && !isCancelled ? await lost(running, deadline) : false
     // Whoever sends the call again is told of the crash first, see `onCrash` of the guard.
     running.ended()
-    const code = isCancelled ? 'deadline-exceeded' : 'target-lost'
+    const code = isCancelled ? cancelCode(deadline) : 'target-lost'
     const failure = hasCrashed ? 'the target process ended while it ran the call' : reply.message
     const detail = isCancelled ? cancelDetail(reply.sent, latencyMs(), others) : failure
     const refusal = reply.sent ? unknownOutcome(code, detail) : notRun(code, detail, 1)
@@ -234,7 +237,10 @@
     execute: (call: IncomingCall): void => {
       // A non-repeatable call continues after its caller has disconnected: a resend then gets its recorded response.
       const remainingMs = call.head.remainingMs - call.waitedMs
-      const deadline = startDeadline(remainingMs, clock.nowMs, call.head.claim === undefined ? call.signal : undefined)
+      const deadline = startDeadline(remainingMs, clock.nowMs, {
+        parent: call.head.claim === undefined ? call.signal : undefined,
+        drain: { ended: drainEnded, hasResponse: call.hasResponse }
+      })
       const self = inbound.open({
         root: call.head.root,
         traceFlags: call.head.traceFlags,
--- a/packages/node/src/calls/forward-response.ts
+++ b/packages/node/src/calls/forward-response.ts
@@ -1,10 +1,11 @@
-import { headerValue, unknownOutcome, type CancelSignal, type Refusal } from '@orioleslip/core'
+import { headerValue, unknownOutcome, type Refusal } from '@orioleslip/core'
 import type { GuardedRun } from '../idempotency/idempotency-guard.js'
 import { createResponseRecorder, STORED_RESPONSE_BODY_BYTES } from '../idempotency/response-recorder.js'
 import type { ByteQueue } from '../links/byte-queue.js'
 import type { IncomingCall } from '../links/incoming-call.js'
 import type { CallReport, ResponseHead } from '../links/messages.js'
 import type { TargetReply } from '../target/target-client.js'
+import { cancelCode, type CallDeadline } from './call-deadline.js'
 import { createHeldBody } from './held-body.js'
 import { createHeldResponse } from './held-response.js'
 
@@ -16,8 +17,7 @@
   call: IncomingCall
   guardedRun: GuardedRun | undefined
   reply: Extract<TargetReply, { kind: 'head' }>
-  /** Whether the deadline has passed, or the caller has left. */
-  signal: CancelSignal
+  deadline: Pick<CallDeadline, 'signal' | 'drained'>
   report: () => CallReport
   refuse: (call: IncomingCall, refusal: Refusal, report: CallReport) => void
 }
@@ -29,7 +29,7 @@
 
 /** Forwards a response to the caller; a recorded one is held back until its run has been recorded. */
 export async function forwardResponse (transfer: ResponseTransfer): Promise<ResponseEnd> {
-  const { call, guardedRun, reply, signal, report, refuse } = transfer
+  const { call, guardedRun, reply, deadline, report, refuse } = transfer
   try {
     if (guardedRun !== undefined) {
       await recordResponse(transfer, guardedRun)
@@ -42,7 +42,7 @@
     return 'complete'
   } catch (err) {
     // The caller must not take the part that it has received for a complete response.
-    const code = signal.aborted ? 'deadline-exceeded' : 'bad-answer'
+    const code = deadline.signal.aborted ? cancelCode(deadline) : 'bad-answer'
     refuse(call, unknownOutcome(code, `the target's response was cut off: ${err instanceof Error ? err.message : String(err)}`), { ...report(), reachedTarget: true })
     return 'cut'
   }
--- a/packages/node/src/links/incoming-call.ts
+++ b/packages/node/src/links/incoming-call.ts
@@ -17,6 +17,7 @@
   recalled: CancelSignal
   accept: () => void
   respond: (head: ResponseHead) => void
+  hasResponse: () => boolean
   /** Sends response bytes; if a promise is returned, the sender should await it before it sends the next chunk. */
   write: (chunk: Uint8Array) => Promise<void> | undefined
   end: (report: CallReport) => void
@@ -47,6 +48,7 @@
   const abort = createCanceller()
   const recalled = createCanceller()
   let ended = false
+  let hasResponse = false
   const sendWindow = createSendWindow(STREAM_WINDOW_BYTES, (chunk) => { send({ type: 'responseData', chunk }) })
   const body = createByteQueue(createCreditReturn(CREDIT_STEP_BYTES, (bytes) => { if (!ended) send({ type: 'credit', bytes }) }))
   const close = () => {
@@ -69,7 +71,11 @@
     signal: abort.signal,
     recalled: recalled.signal,
     accept: () => { if (!ended) send({ type: 'accept' }) },
-    respond: (responseHead) => { if (!ended) send({ type: 'responseHead', head: responseHead }) },
+    respond: (responseHead) => {
+      hasResponse = true
+      if (!ended) send({ type: 'responseHead', head: responseHead })
+    },
+    hasResponse: () => hasResponse,
     write: (chunk) => sendWindow.write(chunk),
     end: (report) => {
       if (!ended) send({ type: 'responseEnd', report })
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -96,8 +96,10 @@
     target, availability, watch, clock, log, host: vm.address, members, pool: () => pool
   })
   const { callRefusal, sendRefusal, onSent, onNotices } = lifecycle
-  const { recalled } = availability
-  const executor = createExecutor({ target, gate, inbound, guard, crashes, clock, callRefusal, sendRefusal, recalled, onSent, onNotices })
+  const { recalled, drainEnded } = availability
+  const executor = createExecutor({
+    target, gate, inbound, guard, crashes, clock, callRefusal, sendRefusal, recalled, drainEnded, onSent, onNotices
+  })
   const listener = await listenForPeers({
     address: peerAddress,
     identity: { fleetKey, vmId: vm.id },
@@ -124,6 +126,7 @@
     lists: () => poller.confirmed ? poller.current() : undefined,
     entryRefusal: availability.entryRefusal,
     recalled,
+    drainEnded,
     admission,
     quotas,
     ledger,
--- a/packages/node/src/routes/route-handler.ts
+++ b/packages/node/src/routes/route-handler.ts
@@ -52,6 +52,8 @@
   entryRefusal: () => Refusal | undefined
   /** Aborts when requests that have not been sent to a target are refused. */
   recalled: CancelSignal
+  /** Aborts when requests without a response get one of unknown outcome. */
+  drainEnded: CancelSignal
   chooseDestination: DestinationChooser
   budget: RepeatBudget
   forwarder: Forwarder
@@ -163,7 +165,8 @@
       return report(refuse(req, res, requestId, admitted.error, []), { route: '', service: '', revision: routes()?.revision ?? 0, priority: 0 })
     }
     const { route, revision, deadlineMs } = admitted.value
-    const deadline = startDeadline(deadlineMs - waitedMs, clock.nowMs)
+    const drain = { ended: options.drainEnded, hasResponse: () => res.headersSent }
+    const deadline = startDeadline(deadlineMs - waitedMs, clock.nowMs, { drain })
     cancelWhenCallerLeaves(req, res, deadline)
     const root = requestContextOf(admitted.value)
     const service = options.chooseDestination(route)
--- a/packages/node/src/routes/routed-node.ts
+++ b/packages/node/src/routes/routed-node.ts
@@ -103,6 +103,7 @@
     callRefusal: lifecycle.callRefusal,
     sendRefusal: lifecycle.sendRefusal,
     recalled: availability.recalled,
+    drainEnded: availability.drainEnded,
     onSent: (call, waits) => {
       lifecycle.onSent()
       if (waits.linkMs + waits.heldMs >= DELAYED_CALL_MS) logDelayedCall(log, call, waits)
@@ -147,6 +148,7 @@
     routes,
     entryRefusal: availability.entryRefusal,
     recalled: availability.recalled,
+    drainEnded: availability.drainEnded,
     chooseDestination: createDestinationChooser(),
     budget,
     forwarder,
--- a/packages/node/src/server/drain.ts
+++ b/packages/node/src/server/drain.ts
@@ -27,6 +27,9 @@
   recalled: CancelSignal
   /** Takes back the calls that have not been sent to a target. */
   recall: () => void
+  /** Aborts when the drain ends: what has no response yet is answered as of unknown outcome. */
+  drainEnded: CancelSignal
+  endDrain: () => void
   /** Ends the acceptance of calls to a leaving target at once. */
   targetLeft: () => void
 }
@@ -40,6 +43,7 @@
   let leavingMs: number | undefined
   let state: Announcement['state'] | undefined
   const recalled = createCanceller()
+  const drainEnded = createCanceller()
   const hasElapsed = (sinceMs: number | undefined, delayMs: number) => sinceMs !== undefined && clock.nowMs() - sinceMs >= delayMs
   const sendRefusal = () => hasElapsed(leavingMs, leaveSpreadMs) ? notRun('draining', 'the target is leaving', 1) : undefined
   return {
@@ -59,6 +63,8 @@
     },
     recalled: recalled.signal,
     recall: recalled.abort,
+    drainEnded: drainEnded.signal,
+    endDrain: drainEnded.abort,
     targetLeft: () => { leavingMs = -Infinity }
   }
 }
--- a/packages/node/src/server/planned-stop.ts
+++ b/packages/node/src/server/planned-stop.ts
@@ -36,7 +36,8 @@
 
 /**
  * Creates the planned stop of a node: new calls are refused, those that still wait for a target later in the drain are taken back and
- * refused, calls at their targets complete, then the node leaves the fleet.
+ * refused, calls at their targets complete, those without a response at the end of the drain are answered as of unknown outcome, then the
+ * node leaves the fleet.
  */
 export function createPlannedStop (options: PlannedStopOptions): () => Promise<void> {
   const { availability, members, openWork, drainTimeoutS, clock, log } = options
@@ -53,6 +54,7 @@
     availability.recall()
     const left = await waitForOpenWork(openWork, drainEndMs - clock.nowMs(), clock)
     if (left > 0) log.warn({ event: 'drain', left, drainTimeoutS }, 'the drain timeout has passed; calls in flight are aborted; raise node.drainTimeoutS')
+    availability.endDrain()
     await Promise.race([options.recordsWritten(), clock.sleep(RECORD_TIMEOUT_MS)])
     await leaving
     // Requests that arrived since then are being refused; closing their connections would hide from callers that they did not run.
--- a/packages/node/src/testing/node-pair.ts
+++ b/packages/node/src/testing/node-pair.ts
@@ -60,6 +60,8 @@
   gate?: TargetGate
   /** Takes back the requests of the entry node; never by default. */
   recalled?: CancelSignal
+  /** Ends the drain of the entry node; never by default. */
+  drainEnded?: CancelSignal
 }
 
 /** Starts an entry node and an executor node in this process, connected by a real peer link; membership, lists and register are fakes. */
@@ -120,6 +122,7 @@
     lists: () => index,
     entryRefusal: () => undefined,
     recalled: options.recalled ?? createCanceller().signal,
+    drainEnded: options.drainEnded ?? createCanceller().signal,
     admission: createEntryAdmission({ clock, random: systemRandom }),
     quotas: { take: () => options.quota ?? { kind: 'granted' }, grant: () => ({ tokens: 0, validMs: 0 }) },
     ledger,
