--- /dev/null
+++ b/packages/node/src/server/planned-stop.test.ts
@@ -0,0 +1,47 @@
+import { createFakeClock } from '@orioleslip/core'
+import test from 'ava'
+import { pino } from 'pino'
+import type { Members } from '../members/members.js'
+import { createAvailability, LEAVE_DISSEMINATION_MS } from './drain.js'
+import { createPlannedStop } from './planned-stop.js'
+
+const DRAIN_S = 2
+/** Delay of the signal from which the stop is not shortened further, in ms. */
+const MAX_DELAY_MS = 500
+
+/** Stops a node with a request that never ends; returns the times of the recall and of the end of the drain, in ms. */
+async function stopBusyNode (signalDelayMs: number) {
+  const clock = createFakeClock()
+  const availability = createAvailability(clock)
+  let recalledMs = 0
+  let endedMs = 0
+  availability.recalled.addEventListener('abort', () => { recalledMs = clock.nowMs() })
+  availability.drainEnded.addEventListener('abort', () => { endedMs = clock.nowMs() })
+  let open = 1
+  const stop = createPlannedStop({
+    availability,
+    members: { leave: () => Promise.resolve() } as Members,
+    openWork: { inbound: { size: () => 0 } as never, openRequests: () => open },
+    announceLeaving: () => {},
+    recordsWritten: () => Promise.resolve(),
+    requestsEnded: () => Promise.resolve(),
+    signalDelayMs: () => signalDelayMs,
+    drainTimeoutS: DRAIN_S,
+    clock,
+    log: pino({ level: 'silent' }),
+    stop: () => Promise.resolve()
+  })()
+  await clock.advance(LEAVE_DISSEMINATION_MS + 2 * DRAIN_S * 1000)
+  open = 0
+  await stop
+  return { recalledMs, endedMs }
+}
+
+// Guards against a stop that is counted from when a busy node handles its signal, and lasts longer than whoever sent the signal waits.
+test('a planned stop is counted from its signal, as far as calls at their targets keep their time', async (t) => {
+  const recallMs = LEAVE_DISSEMINATION_MS + DRAIN_S * 500
+  const endMs = LEAVE_DISSEMINATION_MS + DRAIN_S * 1000
+  t.deepEqual(await stopBusyNode(0), { recalledMs: recallMs, endedMs: endMs })
+  t.deepEqual(await stopBusyNode(300), { recalledMs: recallMs - 300, endedMs: endMs - 300 })
+  t.deepEqual(await stopBusyNode(4000), { recalledMs: recallMs - MAX_DELAY_MS, endedMs: endMs - MAX_DELAY_MS })
+})
--- a/packages/node/src/server/planned-stop.ts
+++ b/packages/node/src/server/planned-stop.ts
@@ -23,6 +23,11 @@
   stop: () => Promise<void>
 }
 
+/**
+ * Longest delay of the signal by which the stop is shortened, in ms. Only the longest possible delay is known; beyond this, calls might be
+ * aborted while their targets still have time.
+ */
+const MAX_SIGNAL_DELAY_MS = 500
 /** Part of the drain in which calls may still be sent to their targets; the rest is for those that are at work there. */
 const SEND_SHARE = 0.5
 /** Longest wait until the key register has recorded the finished runs, in ms. */
@@ -42,14 +47,18 @@
 export function createPlannedStop (options: PlannedStopOptions): () => Promise<void> {
   const { availability, members, openWork, drainTimeoutS, clock, log } = options
   return async () => {
-    log.info({ event: 'drain', drainTimeoutS, signalDelayMs: Math.round(options.signalDelayMs()) }, 'planned stop: the target is announced as leaving')
-    availability.stop()
+    const signalDelayMs = options.signalDelayMs()
+    // Whoever stops the process counts its time from the signal.
+    const signalMs = clock.nowMs() - Math.min(MAX_SIGNAL_DELAY_MS, signalDelayMs)
+    log.info({ event: 'drain', drainTimeoutS, signalDelayMs: Math.round(signalDelayMs) }, 'planned stop: the target is announced as leaving')
+    availability.stop(signalMs)
     options.announceLeaving()
-    await clock.sleep(LEAVE_DISSEMINATION_MS)
+    const drainMs = signalMs + LEAVE_DISSEMINATION_MS
+    await clock.sleep(drainMs - clock.nowMs())
     // The node's last state is disseminated while calls complete, which keeps the stop short.
     const leaving = members.leave()
-    const drainEndMs = clock.nowMs() + drainTimeoutS * 1000
-    const waiting = await waitForOpenWork(openWork, drainTimeoutS * 1000 * SEND_SHARE, clock)
+    const drainEndMs = drainMs + drainTimeoutS * 1000
+    const waiting = await waitForOpenWork(openWork, drainMs + drainTimeoutS * 1000 * SEND_SHARE - clock.nowMs(), clock)
     if (waiting > 0) log.info({ event: 'drain', left: waiting, drainTimeoutS }, 'calls that have not been sent to a target are refused as not run')
     availability.recall()
     const left = await waitForOpenWork(openWork, drainEndMs - clock.nowMs(), clock)
