Stops: answer the requests that have arrived but are not read yet

Seen by callers: a request on a kept connection of an HTTP API (operator's orders, heartbeats, readiness, calls between processes) was discarded without an answer when the process began to stop, if it had arrived while the process was busy. Cause: a timer or a signal runs before the sockets are read. `stopServer` closed each connection without an open request at once, so that one whose request lay unread in its socket counted as idle; its bytes were then discarded. Why it works: the close of idle connections waits for two turns of the event loop. In the first one the waiting connections are accepted and the known ones read, in the second those are read that were accepted in the first.

--- a/packages/core/src/http/close-in-order.test.ts
+++ b/packages/core/src/http/close-in-order.test.ts
@@ -190,6 +190,22 @@
   t.deepEqual(await replies, ['ok', 'cut'])
 })
 
+// Guards against a request that is discarded without an answer because it arrived at a kept connection while a stopping process was busy.
+test('a stop answers the requests that have arrived and are not read yet', async (t) => {
+  const { server, port } = await startServer(t, (_req, res) => { res.end('ok') })
+  const accepted = connectionOf(server)
+  const { socket, closed, read, result } = openClient(t, port)
+  await accepted
+  read()
+  socket.on('end', () => socket.end())
+  socket.write(REQUEST)
+  await stopServer(server, UNREAD_MS)
+  await closed
+  const { receivedBytes, error } = result()
+  t.is(error, undefined)
+  t.true(receivedBytes > 0)
+})
+
 /** Time by which a stop that only waits for clients of idle connections has ended, in ms. */
 const STOPPED_MS = 2000
 
--- a/packages/core/src/http/close-in-order.ts
+++ b/packages/core/src/http/close-in-order.ts
@@ -76,12 +76,20 @@
 /** Stops a server whose connections close in order: open requests are answered for up to `timeoutMs`; then their connections are cut. */
 export function stopServer (server: Server, timeoutMs: number): Promise<void> {
   return new Promise((resolve) => {
-    const closeIdle = setInterval(() => server.closeIdleConnections(), CLOSE_IDLE_INTERVAL_MS)
+    const closeIdle = setInterval(() => afterReads(() => server.closeIdleConnections()), CLOSE_IDLE_INTERVAL_MS)
     const cut = setTimeout(() => server.closeAllConnections(), timeoutMs)
-    server.close(() => {
+    afterReads(() => server.close(() => {
       clearInterval(closeIdle)
       clearTimeout(cut)
       resolve()
-    })
+    }))
   })
 }
+
+/**
+ * Runs a task once the connections and requests that have arrived at this process are accepted and read; timers run before them. A
+ * connection is read in the turn of the event loop after its acceptance.
+ */
+function afterReads (task: () => void): void {
+  setImmediate(() => setImmediate(task))
+}
