Stops: answer the orders and calls that are still open

Seen by callers: when a process ended its planned stop, the connections of requests that its HTTP APIs had read were closed without an answer: an operator's order or read at a control process 1.5 s after the process had left the fleet, a call of a node or of another control VM after 4 s, a heartbeat or readiness check at a node after 0.1 s. An order waits for up to 3.25 s for its outcome, for example when the leader is frozen, and longer behind other large ones; an order that would have committed within the grace was cut as well. The replica was closed after the orders before as well; this is unchanged. Why it works: shortly before the connections are cut, each open request, and each later one, gets 503. That is what an order of unknown outcome gets when its commit times out, and leaves the outcome open.

--- a/packages/control/src/api/server.ts
+++ b/packages/control/src/api/server.ts
@@ -1,7 +1,10 @@
 import type { AddressInfo } from 'node:net'
 import { createServer } from 'node:http'
 import { getRequestListener } from '@hono/node-server'
-import { closeConnectionsInOrder, stopServer, trackIdleConnections, withWholeBodies, type BodyLimit, type RequestVerifier } from '@orioleslip/core'
+import {
+  closeConnectionsInOrder, createEndableApp, stopServer, trackIdleConnections, withWholeBodies,
+  type BodyLimit, type RequestVerifier
+} from '@orioleslip/core'
 import { fetchRequestHandler } from '@trpc/server/adapters/fetch'
 import { Hono } from 'hono'
 import { err, ok, type Result } from 'neverthrow'
@@ -9,7 +12,11 @@
 import type { RefusedChange } from './refused-change-log.js'
 import type { ApiContext, ApiRouter } from './trpc.js'
 
-export type ApiServer = { port: number, stop: () => Promise<void> }
+export type ApiServer = {
+  port: number
+  /** Stops the server within `timeoutMs`, by default 4 s; calls that are open shortly before are refused, their outcome is unknown. */
+  stop: (timeoutMs?: number) => Promise<void>
+}
 
 export type ListenError = { kind: 'listenFailed', message: string }
 
@@ -17,6 +24,8 @@
 const BODY_LIMIT: BodyLimit = { maxBytes: 8 * 1024 * 1024, tooLarge: { type: 'text/plain', text: 'the body exceeds 8 MiB' } }
 // Exceeds the log's limit for a proposal (3 s), so that operators get the reply to an edit in progress.
 const CLOSE_TIMEOUT_MS = 4000
+/** Part of the stop in which the connections of the calls that it refused close, in ms. */
+const LAST_ANSWERS_MS = 200
 
 /** Starts the control API. Port 0 selects a free port, for tests. */
 export function startApiServer (options: {
@@ -51,7 +60,8 @@
   })
 
   return new Promise((resolve) => {
-    const server = createServer(withWholeBodies(getRequestListener(app.fetch), BODY_LIMIT))
+    const { fetch, refuseOpen } = createEndableApp(app.fetch, 'the control process is stopping; ask another control VM')
+    const server = createServer(withWholeBodies(getRequestListener(fetch), BODY_LIMIT))
     closeConnectionsInOrder(server, trackIdleConnections(server))
     server.once('error', (cause: NodeJS.ErrnoException) => {
       const remedy = cause.code === 'EADDRINUSE' ? 'stop the other process or change control.apiPort' : 'check vm.address and control.apiPort'
@@ -59,7 +69,7 @@
     })
     server.once('listening', () => resolve(ok({
       port: (server.address() as AddressInfo).port,
-      stop: () => stopServer(server, CLOSE_TIMEOUT_MS)
+      stop: (timeoutMs = CLOSE_TIMEOUT_MS) => stopServer(server, timeoutMs, { afterMs: timeoutMs - LAST_ANSWERS_MS, refuseOpen })
     })))
     server.listen(options.port, address)
   })
--- a/packages/control/src/routes/routes-control.ts
+++ b/packages/control/src/routes/routes-control.ts
@@ -18,7 +18,11 @@
 import { createRoutesStateMachine } from './state-machine.js'
 
 /** A control process that keeps routes. It finds the other control VMs through the seeds in its settings. */
-export type RoutesControl = { service: RoutesService, stop: () => Promise<void> }
+export type RoutesControl = {
+  service: RoutesService
+  /** Stops the process; open calls of nodes and other control VMs are answered for up to `apiTimeoutMs`, by default 4 s. */
+  stop: (apiTimeoutMs?: number) => Promise<void>
+}
 
 /** Starts the replica of the routes log and its API and, at the first start of the fleet, forms the log group. */
 export async function startRoutesControl (
@@ -80,9 +84,9 @@
   log.info({ event: 'start', vmId: vm.id, address: self, dataDir: control.dataDir }, 'control process is up')
   return ok({
     service: createRoutesService({ routes, machine, confirm: createSharedConfirm(() => routes.confirmCurrent()), minVoters: voters, log }),
-    stop: async () => {
+    stop: async (apiTimeoutMs) => {
       stopping.abort()
-      await server.value.stop()
+      await server.value.stop(apiTimeoutMs)
       await routes.close()
       await clients.close()
       await Promise.all([bootstrap, metricsLoop])
--- a/packages/core/src/http/close-in-order.ts
+++ b/packages/core/src/http/close-in-order.ts
@@ -73,14 +73,27 @@
 /** Time between two looks for connections that have become idle, in ms. */
 const CLOSE_IDLE_INTERVAL_MS = 50
 
-/** Stops a server whose connections close in order: open requests are answered for up to `timeoutMs`; then their connections are cut. */
-export function stopServer (server: Server, timeoutMs: number): Promise<void> {
+/** Answers of a stop to the requests that are still open `afterMs` after its beginning. */
+export type LastAnswers = { afterMs: number, refuseOpen: () => void }
+
+/**
+ * Stops a server whose connections close in order: open requests are answered for up to `timeoutMs`, those that remain by `last` before;
+ * then their connections are cut.
+ */
+export function stopServer (server: Server, timeoutMs: number, last?: LastAnswers): Promise<void> {
   return new Promise((resolve) => {
     const closeIdle = setInterval(() => afterReads(() => server.closeIdleConnections()), CLOSE_IDLE_INTERVAL_MS)
-    const cut = setTimeout(() => server.closeAllConnections(), timeoutMs)
+    const cutAfter = (ms: number) => setTimeout(() => server.closeAllConnections(), ms)
+    let timer = last === undefined
+      ? cutAfter(timeoutMs)
+      : setTimeout(() => {
+        last.refuseOpen()
+        // Started here, since in a process that comes late to its timers both would be due at once, and the refusals would not be sent.
+        timer = cutAfter(timeoutMs - last.afterMs)
+      }, last.afterMs)
     afterReads(() => server.close(() => {
       clearInterval(closeIdle)
-      clearTimeout(cut)
+      clearTimeout(timer)
       resolve()
     }))
   })
