--- a/packages/daemon/src/daemon.test.ts
+++ b/packages/daemon/src/daemon.test.ts
@@ -116,3 +116,18 @@
     t.true(messages.includes('Stopped'), messages.join('\n'))
   }
 })
+
+// Guards against a reload signal that ends the process, and with it everything that is open, because no handler is installed.
+test('SIGHUP leaves the process running, with a line in its log', async (t) => {
+  const dir = await createFolder(t)
+  const file = join(dir, 'control.toml')
+  const free = await occupyPort()
+  await free.close()
+  await writeFile(file, settingsOf(free.port, join(dir, 'data')))
+  const res = await run(['--config', file], (line, send) => {
+    if (line.includes('Control process is up')) send('SIGHUP')
+    if (line.includes('"event":"reload"')) send('SIGTERM')
+  })
+  t.is(res.code, EXIT.ok)
+  t.is(res.out.match(/"event":"reload"/g)?.length, 1)
+})
