--- a/packages/node/src/calls/response-writer.ts
+++ b/packages/node/src/calls/response-writer.ts
@@ -3,13 +3,14 @@
 import type { ByteQueue } from '../links/byte-queue.js'
 import type { ResponseHead } from '../links/messages.js'
 import type { CallFinish } from '../links/outgoing-call.js'
+import { cutResponse, markUnframed } from './cut-response.js'
 import { createHeldBody } from './held-body.js'
 import { BUFFERED_BODY_LIMIT_BYTES } from './request-body.js'
 
-/** Writes a refusal as an `application/problem+json` document; destroys the response if its headers have already been sent. */
+/** Writes a refusal as an `application/problem+json` document; cuts the response if its headers have already been sent. */
 export function writeRefusal (req: IncomingMessage, res: ServerResponse, refusal: Refusal, requestId: string): void {
   if (res.destroyed || res.headersSent) {
-    res.destroy()
+    cutResponse(res)
     return
   }
   const body = Buffer.from(JSON.stringify(toProblem(refusal, requestId)))
@@ -42,6 +43,7 @@
   const headers = extraHeaders.length === 0 ? head.headers : [...head.headers, ...extraHeaders]
   const endsWithConnection = hasNoFraming(res, head)
   const held = endsWithConnection ? createHeldBody() : undefined
+  if (endsWithConnection) markUnframed(res)
   try {
     const whole = body.takeRest() ?? (held !== undefined && await held.hold(body) ? held.chunks.takeAll() : undefined)
     if (whole === undefined) {
@@ -53,7 +55,7 @@
     }
     const end = await finish
     if (end.kind !== 'complete') {
-      abortResponse(res, endsWithConnection)
+      abortResponse(res)
     } else if (whole === undefined) {
       res.end()
     } else {
@@ -63,7 +65,7 @@
     }
     return end
   } catch {
-    abortResponse(res, endsWithConnection)
+    abortResponse(res)
     return finish
   } finally {
     held?.release()
@@ -93,11 +95,9 @@
   return hasBody && (unframed === true || !res.useChunkedEncodingByDefault) && headerValue(headers, 'content-length') === undefined
 }
 
-/** Aborts a response that has begun. Where it would end with its connection, only a TCP reset shows the caller that it is incomplete. */
-function abortResponse (res: ServerResponse, endsWithConnection: boolean): void {
-  if (!res.headersSent) return
-  if (endsWithConnection) res.socket?.resetAndDestroy()
-  res.destroy()
+/** Cuts a response that has begun; one of which nothing has been sent can still be refused. */
+function abortResponse (res: ServerResponse): void {
+  if (res.headersSent) cutResponse(res)
 }
 
 /** Resolves when the response accepts more bytes or its connection has closed. */
--- a/packages/node/src/server/caller-server.ts
+++ b/packages/node/src/server/caller-server.ts
@@ -1,6 +1,7 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import { closeConnectionsInOrder, systemClock, WELL_KNOWN_PREFIX, type Clock, type PeerAddress } from '@orioleslip/core'
+import { cutResponse } from '../calls/cut-response.js'
 import { listen } from '../net/listen.js'
 import { processReads, type SocketReads } from '../net/socket-reads.js'
 import { createCallerConnections, type UnansweredEnd } from './caller-connections.js'
@@ -12,7 +13,7 @@
   port: number
   /** Stops accepting connections; resolves when the open requests have ended. */
   drain: () => Promise<void>
-  /** Closes all connections immediately. */
+  /** Closes all connections immediately, so that no response that has begun looks whole. */
   abort: () => void
 }
 
@@ -44,10 +45,13 @@
   const { stopping = () => false, limits = () => ({ idleTimeoutMs: KEEP_ALIVE_MS }) } = options
   const { onUnanswered = () => {}, reads = processReads, clock = systemClock } = options
   const connections = createCallerConnections(clock, onUnanswered)
+  const responses = new Set<ServerResponse>()
   const listener = (req: IncomingMessage, res: ServerResponse) => {
     reads.noteRead()
     const readWaitMs = reads.waitedMs()
     connections.handle(req, res, (waitedMs) => {
+      responses.add(res)
+      res.once('close', () => responses.delete(res))
       if (stopping()) res.shouldKeepAlive = false
       server.keepAliveTimeout = limits().idleTimeoutMs
       const handle = req.url?.startsWith(WELL_KNOWN_PREFIX) === true ? onWellKnown : onCall
@@ -70,6 +74,9 @@
   return {
     port,
     drain: () => new Promise((resolve) => { server.close(() => resolve()) }),
-    abort: () => server.closeAllConnections()
+    abort: () => {
+      for (const res of responses) if (res.headersSent && !res.writableFinished) cutResponse(res)
+      server.closeAllConnections()
+    }
   }
 }
