--- a/packages/core/src/routes/schema.ts
+++ b/packages/core/src/routes/schema.ts
@@ -1,4 +1,6 @@
 import { z } from 'zod'
+import { boundedArray } from '../json/bounded-schema.js'
+import { MAX_PROBLEMS } from '../json/problems.js'
 
 const identifier = z.string().regex(/^[a-zA-Z0-9][a-zA-Z0-9._-]{0,63}$/, 'use 1 to 64 letters, digits, ".", "_" or "-"')
 const MAX_TIMEOUT_MS = 3_600_000
@@ -28,7 +30,7 @@
   targetLatencyMs: z.number().min(0),
   /** Servers to which one client attempt may be sent. */
   maxAttempts: z.number().int().min(1).max(100),
-  destinations: z.array(destinationSchema).min(1).max(100)
+  destinations: boundedArray(destinationSchema, z.array(z.unknown()).min(1).max(100))
 })
 export type Route = z.infer<typeof routeSchema>
 
@@ -55,18 +57,20 @@
 /** The routes that operators edit, as one document. */
 export const routeListSchema = z.strictObject({
   limits: clientLimitsSchema,
-  services: z.array(routedServiceSchema).max(10_000),
-  routes: z.array(routeSchema).max(100_000),
+  services: boundedArray(routedServiceSchema, z.array(z.unknown()).max(10_000)),
+  routes: boundedArray(routeSchema, z.array(z.unknown()).max(100_000)),
   /** The document as the operator sent it, returned to reads; it is not sent to nodes. */
   source: z.unknown().optional()
 }).superRefine((list, ctx) => {
   const known = new Set(list.services.map((service) => service.name))
-  list.routes.forEach((route, i) => {
+  for (const [i, route] of list.routes.entries()) {
+    // A document of many routes must not cost an object for each of them.
+    if (ctx.issues.length >= MAX_PROBLEMS) return
     const issue = (message: string) => ctx.addIssue({ code: 'custom', path: ['routes', i], message: `route "${route.name}": ${message}` })
     for (const { service } of route.destinations) if (!known.has(service)) issue(`service "${service}" is not defined; add it or change the route`)
     if (route.destinations.reduce((sum, { weight }) => sum + weight, 0) <= 0) issue('the weights add up to 0; give one destination a weight')
     if (route.targetLatencyMs - route.timeoutMs >= MAX_TARGET_LATENCY_EXCESS_MS) issue('the latency target is a minute or more above the timeout; lower it')
-  })
+  }
 })
 export type RouteList = z.infer<typeof routeListSchema>
 
