Stop the check of lists at the first problems

Callers saw: an invalid edit of the lists got no reply within its 8 s, and the control process served nobody meanwhile: 600,000 empty plans (6.6 MB) kept it busy for 20 s and took 1.4 GB, 800,000 invalid customers 18 s and 1 GB (trials with the fixture of the API and the default heap).

The schema of the lists kept each problem of each customer, plan and operation, though 20 were sent back.

Change: boundedRecord() and boundedArray() stop at 20 problems, as do the checks of references and operations. The problems are described by describeProblems(), which has the limits that the operator service had of its own.

--- a/packages/control/src/api/api.test.ts
+++ b/packages/control/src/api/api.test.ts
@@ -41,6 +41,20 @@
   t.is(machine.document().revision, 0)
 })
 
+// Guards against an invalid edit that keeps a control process busy for seconds, and takes gigabytes there, because all of its problems are
+// kept.
+test('an edit with many problems is refused soon, with the first of them', async (t) => {
+  const { connect, server, machine } = await startApi()
+  t.teardown(server.stop)
+  const empty = Array.from({ length: 1000 }, () => ({}))
+  const plans = Object.fromEntries(Array.from({ length: 1000 }, (_, i) => [`p${i}`, { ...lists.plans.basic, operations: empty }]))
+  const reply = await callControl(connect(ANA, OPERATOR_KEY).api.edit.mutate({ ...edit, lists: { customers: {}, plans } }))
+  t.like(reply.isOk() ? reply.value : reply.error, { kind: 'invalid' })
+  const { problems } = reply._unsafeUnwrap() as { problems: string[] }
+  t.true(problems.length > 0 && problems.length <= 20 && problems.join().length <= 20 * 301, `${problems.length} problems`)
+  t.is(machine.document().revision, 0)
+})
+
 // Guards against nodes that get an edit late: a held poll isn't woken when the edit is applied, or its reply lacks the edit.
 test('a held poll gets the accepted edit', async (t) => {
   const { connect, server } = await startApi()
--- a/packages/control/src/api/operator-service.ts
+++ b/packages/control/src/api/operator-service.ts
@@ -1,5 +1,5 @@
 import { createHash } from 'node:crypto'
-import { canonicalJson, isNestedDeeperThan, listsSchema, MAX_NESTING, type Clock, type ListsDocument, type ProposeError, type ReplicatedLog } from '@orioleslip/core'
+import { canonicalJson, describeProblems, isNestedDeeperThan, listsSchema, MAX_NESTING, type Clock, type ListsDocument, type ProposeError, type ReplicatedLog } from '@orioleslip/core'
 import type { Logger } from 'pino'
 import type { AuditEntry } from '../audit/chain.js'
 import type { EditContent, EditReply, ListsCommand, ListsReply } from '../lists/commands.js'
@@ -23,19 +23,13 @@
   history: (limit: number) => HistoryEntry[]
 }
 
-// Limits on the problems kept in the audit trail and sent back; whoever sends more than these has to review the whole file anyway.
-const MAX_PROBLEMS = 20
-const MAX_PROBLEM_CHARS = 300
-
 function checkLists (raw: unknown): EditContent {
   if (isNestedDeeperThan(raw, MAX_NESTING)) {
     return { kind: 'invalid', problems: [`the lists have more than ${MAX_NESTING} levels of arrays and objects`], digest: '' }
   }
   const res = listsSchema.safeParse(raw)
   if (res.success) return { kind: 'lists', lists: res.data }
-  const problems = res.error.issues.slice(0, MAX_PROBLEMS).map((issue) =>
-    `${issue.path.map(String).join('.')}: ${issue.message}`.slice(0, MAX_PROBLEM_CHARS))
-  return { kind: 'invalid', problems, digest: createHash('sha256').update(canonicalJson(raw ?? null)).digest('hex') }
+  return { kind: 'invalid', problems: describeProblems(res.error), digest: createHash('sha256').update(canonicalJson(raw ?? null)).digest('hex') }
 }
 
 /** Creates the operations that operators call. */
--- a/packages/core/src/json/bounded-schema.test.ts
+++ b/packages/core/src/json/bounded-schema.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava'
 import { z } from 'zod'
-import { boundedArray } from './bounded-schema.js'
+import { listsSchema } from '../lists/schema.js'
+import { boundedArray, boundedRecord } from './bounded-schema.js'
 import { describeProblems, MAX_PROBLEMS } from './problems.js'
 
 const schema = z.strictObject({ items: boundedArray(z.strictObject({ a: z.number(), b: z.string().min(2) })) })
@@ -29,3 +30,35 @@
   const parsed = z.strictObject({}).safeParse({ ['x'.repeat(1_000_000)]: 1 })
   t.true(describeProblems(parsed.error!).join().length <= 300)
 })
+
+// Guards against a bounded record that accepts, drops or changes something that a record of Zod doesn't.
+test('a bounded record accepts what its names and its values allow', (t) => {
+  const bounded = boundedRecord(z.string().regex(/^[a-z]+$/), z.number().min(1))
+  const plain = z.record(z.string().regex(/^[a-z]+$/), z.number().min(1))
+  for (const value of [{}, { a: 1, b: 2 }, { constructor: 1 }, { A: 1 }, { a: 0 }, { a: 'x' }, [], null, 'x', JSON.parse('{"__proto__":1,"a":2}')]) {
+    t.is(bounded.safeParse(value).success, plain.safeParse(value).success, JSON.stringify(value))
+    t.deepEqual(bounded.safeParse(value).data, plain.safeParse(value).data)
+  }
+  t.deepEqual(describeProblems(bounded.safeParse({ a: 0, B: 1 }).error!).map((problem) => problem.slice(0, 3)), ['a: ', 'B: '])
+})
+
+// Guards against lists whose many problems are all kept: these took seconds and gigabytes of a control process.
+test('the check of lists stops at the first problems', (t) => {
+  const plan = { ratePerSecond: 1, burst: 1, operations: [] }
+  const many = (value: unknown, prefix = 'n') => Object.fromEntries(Array.from({ length: 50_000 }, (_, i) => [`${prefix}${i}`, value]))
+  const operation = { service: 's', method: 'GET', path: '/', importance: 'claim', repeatable: false }
+  const odd = [
+    { customers: {}, plans: many({}) },
+    { customers: many(0), plans: {} },
+    { customers: many('a', '-'), plans: { a: plan } },
+    { customers: many('a'), plans: {} },
+    { customers: {}, plans: many({ ...plan, operations: [operation] }) },
+    { customers: {}, plans: { a: { ...plan, operations: Array.from({ length: 1000 }, () => ({})) } } },
+    { customers: {}, plans: many({ ...plan, operations: [{}, {}, {}] }) }
+  ]
+  for (const lists of odd) {
+    const { issues } = listsSchema.safeParse(lists).error!
+    t.true(issues.length >= MAX_PROBLEMS && issues.length < 2 * MAX_PROBLEMS, `${issues.length} problems`)
+  }
+  t.true(listsSchema.safeParse({ customers: many('a'), plans: { a: plan } }).success)
+})
--- a/packages/core/src/lists/schema.ts
+++ b/packages/core/src/lists/schema.ts
@@ -1,4 +1,6 @@
 import { z } from 'zod'
+import { boundedArray, boundedRecord } from '../json/bounded-schema.js'
+import { MAX_PROBLEMS } from '../json/problems.js'
 
 const identifier = z.string().regex(/^[a-zA-Z0-9][a-zA-Z0-9._-]{0,63}$/, 'use 1 to 64 letters, digits, ".", "_" or "-"')
 
@@ -28,21 +30,25 @@
   ratePerSecond: z.number().positive().max(1_000_000),
   /** Requests that one customer may send at once, beyond the steady rate. */
   burst: z.number().int().min(1).max(1_000_000),
-  operations: z.array(operationSchema).max(1000)
+  operations: boundedArray(operationSchema, z.array(z.unknown()).max(1000))
 })
 export type Plan = z.infer<typeof planSchema>
 
 /** The two lists that operators edit. */
 export const listsSchema = z.strictObject({
-  customers: z.record(identifier, identifier),
-  plans: z.record(identifier, planSchema)
+  customers: boundedRecord(identifier, identifier),
+  plans: boundedRecord(identifier, planSchema)
 }).superRefine((lists, ctx) => {
+  // Lists of many entries must not cost an object for each of them.
+  const isFull = () => ctx.issues.length >= MAX_PROBLEMS
   for (const [customer, plan] of Object.entries(lists.customers)) {
+    if (isFull()) return
     if (!Object.hasOwn(lists.plans, plan)) {
       ctx.addIssue({ code: 'custom', path: ['customers', customer], message: `plan "${plan}" is not in the plans list; add it or change the customer` })
     }
   }
   for (const [name, plan] of Object.entries(lists.plans)) {
+    if (isFull()) return
     const seen = new Set<string>()
     plan.operations.forEach((op, i) => {
       const key = operationKey(op)
