Refuse a command without an encoded form for good

Callers saw: a configuration with an object of more than 65,535 properties, also in a field that nobody reads, got 500, which the operator takes for a failure to try again at the next process. `lists edit` with 70,000 customers ended as if no control process could be reached (code 5 after 5.7 s).

Cause: msgpackr refuses such an object with an exception, which nobody caught between pack() and the callers.

Change: propose() answers "tooLarge" with the reason: 413 for a configuration, "invalid" for an edit. The format of the log stays.

Evidence: without the fix "a command with an object that has too many properties is refused for good" failed (rejected promise), and so did "one object with many keys in a field that nobody reads" of invalid-configurations.test (500). With it both pass in three runs and once beside 4 busy processes.

--- a/packages/control/src/replication/log-size.test.ts
+++ b/packages/control/src/replication/log-size.test.ts
@@ -80,3 +80,15 @@
   t.regex(await propose(Array.from({ length: 20_000 }, () => [])), /tooLarge: .* of memory, the limit is 400000/)
   t.is(await propose('x'.repeat(190_000)), 'accepted')
 })
+
+// Guards against a command that ends in an exception, which callers see as a failure to try again, because it has no encoded form.
+test('a command with an object that has too many properties is refused for good, and later ones are accepted', async (t) => {
+  const cluster = createCluster(1, 35)
+  const leader = await cluster.boot()
+  const properties = (count: number) => Object.fromEntries(Array.from({ length: count }, (_, i) => [`p${i}`, 0]))
+  const res = await cluster.propose(leader.vmId, properties(65_536) as unknown as string)
+  t.like(res._unsafeUnwrapErr(), { kind: 'tooLarge' })
+  t.regex(res._unsafeUnwrapErr().message, /65535 properties/)
+  t.true((await cluster.propose(leader.vmId, properties(65_535) as unknown as string)).isOk())
+  t.true((await cluster.propose(leader.vmId, 'after')).isOk())
+})
--- a/packages/control/src/replication/proposals.ts
+++ b/packages/control/src/replication/proposals.ts
@@ -24,7 +24,9 @@
   if (isNestedDeeperThan(cmd, MAX_NESTING)) {
     return err({ kind: 'refused', message: `the command has more than ${MAX_NESTING} levels of arrays and objects; flatten it` })
   }
-  const packed = pack(cmd)
+  const encoded = encode(cmd)
+  if (encoded.isErr()) return err({ kind: 'tooLarge', message: encoded.error })
+  const packed = encoded.value
   const excess = excessOf(replica, cmd, packed.length)
   if (excess !== undefined) return err({ kind: 'tooLarge', message: excess })
   // A copy in the form that a replay of the log yields, which later changes of the caller's object don't affect.
@@ -32,6 +34,15 @@
   return await forward(replica, cmd)
 }
 
+/** Encodes a command; an error if it has no encoded form, as for an object with more than 65,535 properties, and never will have. */
+function encode (cmd: unknown): Result<Buffer, string> {
+  try {
+    return ok(pack(cmd))
+  } catch (cause) {
+    return err(`the command cannot be encoded; an object may have 65535 properties at most (${cause instanceof Error ? cause.message : String(cause)})`)
+  }
+}
+
 /** Names the limit that a command exceeds: of the log, of the heap of a replica that applies it, or of a message to a peer. */
 function excessOf ({ settings }: Replica, cmd: unknown, packedBytes: number): string | undefined {
   const { commandBytes, commandHeapBytes, commandJsonBytes } = settings
