--- a/packages/node/src/calls/call-handler.ts
+++ b/packages/node/src/calls/call-handler.ts
@@ -204,7 +204,7 @@
       key: claimKey ?? '',
       token: lost.token,
       deadlineMs: deadline.deadlineMs,
-      signal: options.recalled,
+      signal: options.drainEnded,
       code: deadline.expired() ? 'deadline-exceeded' : 'target-lost'
     })
     if (resolved.kind === 'refuse') return refuse(req, res, root.requestId, resolved.refusal, attempts, regionBytes)
--- a/packages/node/src/idempotency/idempotency-guard.ts
+++ b/packages/node/src/idempotency/idempotency-guard.ts
@@ -48,6 +48,8 @@
   vmId: string
   /** Time without a reply from the register after which a call is refused, in ms; longer than a leader election. */
   registerTimeoutMs?: number
+  /** Aborts late in the drain of this node, from when callers wait less for the records of finished runs; never by default. */
+  recalled?: CancelSignal
 }
 
 // `Retry-After` of refusals, in seconds: without a reply from the register, and with a full register.
@@ -55,6 +57,8 @@
 const RETRY_AFTER_FULL_S = 60
 // Longest wait for the record of a finished run, in ms. A complete response must reach its caller even while the register is unavailable.
 const FINISH_WAIT_MS = 1000
+// The same late in the drain, at whose end callers get no response any more: a quorum round trip between regions with a disk sync.
+const LATE_FINISH_WAIT_MS = 250
 // Longest deadline of a claim, in ms; half the time for which the register accepts a token.
 const MAX_DEADLINE_MS = 3_600_000
 // The monotonic clock stops while a VM is suspended. A call is not dispatched when the wall clock exceeds its deadline by this time, in ms:
@@ -62,7 +66,8 @@
 const SUSPENSION_TOLERANCE_MS = 60_000
 
 /** Creates the guard that lets each key's call reach the target at most once. */
-export function createIdempotencyGuard ({ register, clock, log, vmId, registerTimeoutMs = 3000 }: IdempotencyGuardOptions) {
+export function createIdempotencyGuard (options: IdempotencyGuardOptions) {
+  const { register, clock, log, vmId, registerTimeoutMs = 3000, recalled } = options
   const background = createBackgroundCommands(clock, log)
 
   async function begin (call: GuardedCall): Promise<GuardDecision> {
@@ -142,7 +147,8 @@
     return {
       finished: async (run) => {
         const recorded = startCommand('finish', () => register.finish(id, token, run))
-        await withTimeout(clock, FINISH_WAIT_MS, recorded.then(() => ({})))
+        const waitMs = recalled?.aborted === true ? LATE_FINISH_WAIT_MS : FINISH_WAIT_MS
+        await withTimeout(clock, waitMs, recorded.then(() => ({})))
       },
       notSent: () => startCommand('release', () => register.release(id, token))
     }
--- a/packages/node/src/idempotency/lost-call.ts
+++ b/packages/node/src/idempotency/lost-call.ts
@@ -10,7 +10,7 @@
   token: string
   /** Deadline on this node's clock (`nowMs`). */
   deadlineMs: number
-  /** Aborts when the outcome can't be awaited any longer. */
+  /** Aborts when the outcome can't be awaited any longer: the register is then asked once more at most, for a short time. */
   signal?: CancelSignal
   /** Refusal code that states the reason of the loss. */
   code: Extract<RefusalCode, 'target-lost' | 'deadline-exceeded' | 'bad-answer' | 'draining'>
@@ -22,6 +22,9 @@
 // Minimum time for the first cancel when the deadline is near or has passed, in ms: one quorum round trip between regions with a disk
 // sync. Without it a call that never reached its executor would be reported as unknown.
 const FIRST_CANCEL_MS = 250
+// Longest time of a cancel that begins after `signal` has aborted, in ms. A node that stops ends 200 ms after the end of its drain, and the
+// response has to be written before.
+const LAST_CANCEL_MS = 100
 
 /**
  * Determines the response to the caller after the connection to the executor was lost. The outcome is `not-run` only after a successful
@@ -36,8 +39,10 @@
   const backoff = createBackoff(25, 1000)
   let detail = 'the key register did not reply whether the call was dispatched'
 
-  while (remainingMs() > 0 && signal?.aborted !== true) {
-    const reply = await withTimeout(clock, remainingMs(), register.cancel({ customer, key }, token), signal)
+  for (let isLast = false; remainingMs() > 0 && !isLast;) {
+    isLast = signal?.aborted === true
+    const cancel = register.cancel({ customer, key }, token)
+    const reply = await (isLast ? withTimeout(clock, LAST_CANCEL_MS, cancel) : withTimeout(clock, remainingMs(), cancel, signal))
     if (reply?.isOk()) {
       const result = reply.value
       switch (result.kind) {
@@ -50,7 +55,7 @@
           detail = `${result.executorVm} dispatched the call and has recorded no outcome`
       }
     }
-    await clock.sleep(Math.min(backoff(), Math.max(0, remainingMs())), signal)
+    if (!isLast) await clock.sleep(Math.min(backoff(), Math.max(0, remainingMs())), signal)
   }
   return { kind: 'refuse', refusal: unknownOutcome(code, detail) }
 }
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -91,7 +91,7 @@
 
   const control = createControlCall({ controls: settings.controls, fleetKey, clock, random })
   const register = createRegisterClient(control.call)
-  const guard = createIdempotencyGuard({ register, clock, log, vmId: vm.id })
+  const guard = createIdempotencyGuard({ register, clock, log, vmId: vm.id, recalled: availability.recalled })
   const { crashes, lifecycle, announce, handleRequest } = createGuardedTarget({
     target, availability, watch, clock, log, host: vm.address, members, pool: () => pool
   })
