--- a/packages/core/src/http/close-in-order.ts
+++ b/packages/core/src/http/close-in-order.ts
@@ -54,9 +54,10 @@
     socket.destroySoon = () => closeInOrder(socket)
   })
   server.on('timeout', (socket) => closeInOrder(socket))
-  server.closeIdleConnections = () => {
+  // A request that has arrived at a connection is not read before a timer or a signal is handled.
+  server.closeIdleConnections = () => afterReads(() => {
     for (const socket of sockets) if (isIdle(socket)) closeInOrder(socket, { lingerMs: STOP_LINGER_MS })
-  }
+  })
 }
 
 /** Returns a function that tells the connections of a server on which no request is open. */
@@ -82,7 +83,7 @@
  */
 export function stopServer (server: Server, timeoutMs: number, last?: LastAnswers): Promise<void> {
   return new Promise((resolve) => {
-    const closeIdle = setInterval(() => afterReads(() => server.closeIdleConnections()), CLOSE_IDLE_INTERVAL_MS)
+    const closeIdle = setInterval(() => server.closeIdleConnections(), CLOSE_IDLE_INTERVAL_MS)
     const cutAfter = (ms: number) => setTimeout(() => server.closeAllConnections(), ms)
     let timer = last === undefined
       ? cutAfter(timeoutMs)
--- a/packages/node/src/server/caller-server.test.ts
+++ b/packages/node/src/server/caller-server.test.ts
@@ -55,6 +55,25 @@
   t.pass()
 })
 
+// Guards against a request that is discarded without an answer because it arrived at a kept connection just before the listener was closed.
+test('a drain answers the requests that have arrived and are not read yet', async (t) => {
+  const handle = async (_req: IncomingMessage, res: ServerResponse) => { res.end('ok') }
+  const server = await startCallerServer({ host, port: 0 }, handle, handle)
+  const socket = connect({ host, port: server.port })
+  const ended = once(socket, 'close')
+  socket.setEncoding('utf8')
+  let text = ''
+  socket.on('data', (chunk: string) => { text += chunk })
+  const send = () => socket.write('GET /a/b HTTP/1.1\r\nhost: a\r\n\r\n')
+  send()
+  await once(socket, 'data')
+  text = ''
+  send()
+  await server.drain()
+  await ended
+  t.regex(text, /^HTTP\/1\.1 200 /)
+})
+
 // Guards against a deadline that starts late: a turn of a busy process may take long, and what it reads last has waited for all of it.
 test('a request has waited for the time in which its turn of the event loop handled others', async (t) => {
   const workMs = 300
