--- a/packages/node/src/calls/executor.ts
+++ b/packages/node/src/calls/executor.ts
@@ -8,11 +8,12 @@
 import type { CallHead, CallReport } from '../links/messages.js'
 import { isSameProcess, type Announcement, type LocalTarget } from '../target/local-target.js'
 import type { ResponseTransferState, TargetReply } from '../target/target-client.js'
-import { startDeadline, type CallDeadline } from './call-deadline.js'
+import { cancelCode, startDeadline, type CallDeadline } from './call-deadline.js'
 import { defaultTargetHeaders } from './default-target-headers.js'
 import { createCallReceiver, noTargetRefusal, type CallReceiverOptions } from './call-receiver.js'
 import type { InboundCall, InboundCalls } from './inbound-calls.js'
 import { forwardResponse, type ResponseEnd } from './forward-response.js'
+import { createResponseCount } from './response-count.js'
 import { receiveTargetBody } from './target-body.js'
 import { trackUnsentCall, type UnsentCall } from './unsent-call.js'
 import type { GuardedRun } from '../idempotency/idempotency-guard.js'
@@ -32,6 +33,8 @@
   sendRefusal?: () => Refusal | undefined
   /** Aborts when this node takes back all calls that it has not sent to the target; never by default. */
   recalled?: CancelSignal
+  /** Aborts when the drain of this node ends, and with it the calls that have no response; never by default. */
+  drainEnded?: CancelSignal
   /** Builds the headers sent to the target; by default those of orioleslip's own HTTP interface. */
   targetHeaders?: TargetHeaders
   /** True for a response whose headers show that it belongs to another call; its connection is closed and not used again. */
@@ -68,15 +71,18 @@
 /** Builds the headers of a call to the local target. */
 export type TargetHeaders = (call: IncomingCall, deadline: CallDeadline, self: InboundCall, target: Announcement) => string[]
 
+const { signal: never } = createCanceller()
+
 /** Creates the executor, which runs calls at the target on this VM. */
 export function createExecutor (options: ExecutorOptions) {
   const { target, gate, inbound, clock } = options
   const { targetHeaders = defaultTargetHeaders, isForeignResponse = () => false } = options
   const { checkResponse = () => ({ kind: 'ran' }), readNotices = createNoticeReader(HEADERS) } = options
   const { sendRefusal = () => undefined, onRefused = () => {}, onSent = () => {}, onNotices = () => {} } = options
-  const { onUnframed = () => {}, recalled = createCanceller().signal, reads = processReads } = options
+  const { onUnframed = () => {}, recalled = never, drainEnded = never, reads = processReads } = options
 
   const receive = createCallReceiver(options)
+  const responses = createResponseCount(clock)
 
   /** Calls from nodes of earlier versions have no fingerprint by which they could be told apart. */
   const crashGuardOf = ({ fingerprint }: CallHead): GuardedCall =>
@@ -168,6 +174,7 @@
     const running = crashes.started(fingerprint, current.announcement)
     const startedMs = clock.nowMs()
     const latencyMs = () => clock.nowMs() - startedMs
+    const others = responses.countOthers()
     onSent(call, { linkMs: call.waitedMs, heldMs: startedMs - self.openedMs })
     const reply = await current.client.run({
       method: head.method,
@@ -178,13 +185,14 @@
       remainingMs: deadline.remainingMs,
       isForeign: (headers) => isForeignResponse(call, headers)
     })
+    if (reply.kind !== 'failed') responses.add()
     if (reply.kind === 'foreign') {
       running.ended()
       permit.release({ kind: 'failed', latencyMs: latencyMs() })
       const refusal = unknownOutcome('bad-answer', 'the target sent the response to another request')
       return refuseCall(call, refusal, { ...reportOf(self), reachedTarget: true })
     }
-    if (reply.kind === 'failed') return await finishFailed({ call, deadline, self, permit, guardedRun, latencyMs, reply, running })
+    if (reply.kind === 'failed') return await finishFailed({ call, deadline, self, permit, guardedRun, latencyMs, others, reply, running })
     const check = checkResponse(reply)
     if (check.kind !== 'misdirected') applyNotices(current.announcement, readNotices(reply.headers))
     if (check.kind !== 'ran') {
@@ -194,8 +202,7 @@
       releaseClaim(guardedRun)
       return refuseCall(call, check.refusal, { ...reportOf(self), reachedTarget: true })
     }
-    const { signal } = deadline
-    const end = await forwardResponse({ call, guardedRun, reply, signal, report: () => reportOf(self), refuse: refuseCall })
+    const end = await forwardResponse({ call, guardedRun, reply, deadline, report: () => reportOf(self), refuse: refuseCall })
     if (reply.unframed) onUnframed(call, { ...reply.transfer(), end, latencyMs: latencyMs() })
     if (end === 'complete') crashes.completed(running, head.service)
     else lost(running, deadline)
@@ -210,16 +217,17 @@
     return false
   }
 
-  const finishFailed = async ({ call, deadline, self, permit, guardedRun, latencyMs, reply, running }: FailedCall): Promise<void> => {
+  const finishFailed = async (failed: FailedCall): Promise<void> => {
+    const { call, deadline, self, permit, guardedRun, latencyMs, others, reply, running } = failed
     const isCancelled = deadline.signal.aborted || (!reply.sent && deadline.remainingMs() <= 0)
     permit.release({ kind: isCancelled ? 'cancelled' : 'failed', latencyMs: latencyMs() })
     if (!reply.sent) releaseClaim(guardedRun)
     const hasCrashed = reply.sent && !isCancelled ? await lost(running, deadline) : false
     // Whoever sends the call again is told of the crash first, see `onCrash` of the guard.
     running.ended()
-    const code = isCancelled ? 'deadline-exceeded' : 'target-lost'
+    const code = isCancelled ? cancelCode(deadline) : 'target-lost'
     const failure = hasCrashed ? 'the target process ended while it ran the call' : reply.message
-    const detail = isCancelled ? cancelDetail(reply.sent, latencyMs()) : failure
+    const detail = isCancelled ? cancelDetail(reply.sent, latencyMs(), others) : failure
     const refusal = reply.sent ? unknownOutcome(code, detail) : notRun(code, detail, 1)
     refuseCall(call, refusal, { ...reportOf(self), reachedTarget: reply.sent })
   }
@@ -229,7 +237,10 @@
     execute: (call: IncomingCall): void => {
       // A non-repeatable call continues after its caller has disconnected: a resend then gets its recorded response.
       const remainingMs = call.head.remainingMs - call.waitedMs
-      const deadline = startDeadline(remainingMs, clock.nowMs, call.head.claim === undefined ? call.signal : undefined)
+      const deadline = startDeadline(remainingMs, clock.nowMs, {
+        parent: call.head.claim === undefined ? call.signal : undefined,
+        drain: { ended: drainEnded, hasResponse: call.hasResponse }
+      })
       const self = inbound.open({
         root: call.head.root,
         traceFlags: call.head.traceFlags,
@@ -266,6 +277,8 @@
 type FailedCall = Omit<ReadyCall, 'bytes' | 'unsent'> & {
   permit: Permit
   latencyMs: () => number
+  /** Says how many other calls the target has responded to meanwhile. */
+  others: () => string
   reply: Extract<TargetReply, { kind: 'failed' }>
   running: RunningCall
 }
@@ -275,9 +288,9 @@
   guardedRun?.notSent().catch(() => undefined)
 }
 
-function cancelDetail (isSent: boolean, latencyMs: number): string {
+function cancelDetail (isSent: boolean, latencyMs: number, others: () => string): string {
   return isSent
-    ? `the target had sent no response after ${Math.round(latencyMs)} ms, when the call was cancelled`
+    ? `the target had sent no response after ${Math.round(latencyMs)} ms, when the call was cancelled; ${others()}`
     : `the call had waited for a connection to the target for ${Math.round(latencyMs)} ms, when it was cancelled or its deadline passed`
 }
 
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -26,6 +26,7 @@
 import { createListsPoller } from './lists/poller.js'
 import { createTargetWatch } from './members/target-watch.js'
 import { joinMembership } from './membership.js'
+import { processReads } from './net/socket-reads.js'
 import { createQuotas } from './quotas/quotas.js'
 import { createLedgerRetries } from './retries/ledger-retries.js'
 import { createRetryRequester } from './retries/request-retry.js'
@@ -95,8 +96,10 @@
     target, availability, watch, clock, log, host: vm.address, members, pool: () => pool
   })
   const { callRefusal, sendRefusal, onSent, onNotices } = lifecycle
-  const { recalled } = availability
-  const executor = createExecutor({ target, gate, inbound, guard, crashes, clock, callRefusal, sendRefusal, recalled, onSent, onNotices })
+  const { recalled, drainEnded } = availability
+  const executor = createExecutor({
+    target, gate, inbound, guard, crashes, clock, callRefusal, sendRefusal, recalled, drainEnded, onSent, onNotices
+  })
   const listener = await listenForPeers({
     address: peerAddress,
     identity: { fleetKey, vmId: vm.id },
@@ -123,6 +126,7 @@
     lists: () => poller.confirmed ? poller.current() : undefined,
     entryRefusal: availability.entryRefusal,
     recalled,
+    drainEnded,
     admission,
     quotas,
     ledger,
@@ -178,6 +182,7 @@
     announceLeaving: watch.leave,
     recordsWritten: guard.idle,
     requestsEnded: server.drain,
+    signalDelayMs: processReads.unreadMs,
     drainTimeoutS: cfg.drainTimeoutS,
     clock,
     log,
--- a/packages/node/src/routes/routed-node.ts
+++ b/packages/node/src/routes/routed-node.ts
@@ -19,6 +19,7 @@
 import { createPeerPool } from '../links/pool.js'
 import { createTargetWatch } from '../members/target-watch.js'
 import { joinMembership } from '../membership.js'
+import { processReads } from '../net/socket-reads.js'
 import type { RunningNode } from '../node.js'
 import { createRouter } from '../routing/router.js'
 import { startCallerServer } from '../server/caller-server.js'
@@ -102,6 +103,7 @@
     callRefusal: lifecycle.callRefusal,
     sendRefusal: lifecycle.sendRefusal,
     recalled: availability.recalled,
+    drainEnded: availability.drainEnded,
     onSent: (call, waits) => {
       lifecycle.onSent()
       if (waits.linkMs + waits.heldMs >= DELAYED_CALL_MS) logDelayedCall(log, call, waits)
@@ -146,6 +148,7 @@
     routes,
     entryRefusal: availability.entryRefusal,
     recalled: availability.recalled,
+    drainEnded: availability.drainEnded,
     chooseDestination: createDestinationChooser(),
     budget,
     forwarder,
@@ -185,6 +188,7 @@
     announceLeaving: watch.leave,
     recordsWritten: () => Promise.resolve(),
     requestsEnded: server.drain,
+    signalDelayMs: processReads.unreadMs,
     drainTimeoutS: cfg.drainTimeoutS,
     clock,
     log,
--- a/packages/node/src/server/planned-stop.ts
+++ b/packages/node/src/server/planned-stop.ts
@@ -13,6 +13,8 @@
   recordsWritten: () => Promise<void>
   /** Stops accepting callers; resolves when their open requests have ended. */
   requestsEnded: () => Promise<void>
+  /** Longest time for which the signal to stop can have waited until this process handled it, in ms. */
+  signalDelayMs: () => number
   /** Longest wait for calls in flight after the leave has been disseminated, in seconds. */
   drainTimeoutS: number
   clock: Clock
@@ -34,12 +36,13 @@
 
 /**
  * Creates the planned stop of a node: new calls are refused, those that still wait for a target later in the drain are taken back and
- * refused, calls at their targets complete, then the node leaves the fleet.
+ * refused, calls at their targets complete, those without a response at the end of the drain are answered as of unknown outcome, then the
+ * node leaves the fleet.
  */
 export function createPlannedStop (options: PlannedStopOptions): () => Promise<void> {
   const { availability, members, openWork, drainTimeoutS, clock, log } = options
   return async () => {
-    log.info({ event: 'drain', drainTimeoutS }, 'planned stop: the target is announced as leaving')
+    log.info({ event: 'drain', drainTimeoutS, signalDelayMs: Math.round(options.signalDelayMs()) }, 'planned stop: the target is announced as leaving')
     availability.stop()
     options.announceLeaving()
     await clock.sleep(LEAVE_DISSEMINATION_MS)
@@ -51,6 +54,7 @@
     availability.recall()
     const left = await waitForOpenWork(openWork, drainEndMs - clock.nowMs(), clock)
     if (left > 0) log.warn({ event: 'drain', left, drainTimeoutS }, 'the drain timeout has passed; calls in flight are aborted; raise node.drainTimeoutS')
+    availability.endDrain()
     await Promise.race([options.recordsWritten(), clock.sleep(RECORD_TIMEOUT_MS)])
     await leaving
     // Requests that arrived since then are being refused; closing their connections would hide from callers that they did not run.
