--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -178,7 +178,10 @@
     availability,
     members,
     openWork: { inbound, openRequests: handler.openRequests },
-    announceLeaving: watch.leave,
+    announceLeaving: () => {
+      watch.leave()
+      server.closeAfterResponses()
+    },
     recordsWritten: guard.idle,
     requestsEnded: server.drain,
     signalDelayMs: members.lateMs,
--- a/packages/node/src/routes/routed-node.ts
+++ b/packages/node/src/routes/routed-node.ts
@@ -184,7 +184,10 @@
     availability,
     members,
     openWork: { inbound, openRequests: handler.openRequests },
-    announceLeaving: watch.leave,
+    announceLeaving: () => {
+      watch.leave()
+      server.closeAfterResponses()
+    },
     recordsWritten: () => Promise.resolve(),
     requestsEnded: server.drain,
     signalDelayMs: members.lateMs,
--- a/packages/node/src/server/caller-server.ts
+++ b/packages/node/src/server/caller-server.ts
@@ -11,6 +11,8 @@
 
 export type CallerServer = {
   port: number
+  /** Lets the responses that have not begun close their connections. */
+  closeAfterResponses: () => void
   /** Stops accepting connections; resolves when the open requests have ended. */
   drain: () => Promise<void>
   /** Closes all connections immediately, so that no response that has begun looks whole. */
@@ -74,6 +76,7 @@
   return {
     port,
     drain: () => new Promise((resolve) => { server.close(() => resolve()) }),
+    closeAfterResponses: () => { for (const res of responses) if (!res.headersSent) res.shouldKeepAlive = false },
     abort: () => {
       for (const res of responses) if (res.headersSent && !res.writableFinished) cutResponse(res)
       server.closeAllConnections()
